--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/Catalog.kt
@@ -0,0 +1,28 @@
+package org.anvilbarrow.kernel.catalog
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.anvilbarrow.protocol.model.ShardId
+import org.anvilbarrow.protocol.model.ShardSpec
+import org.anvilbarrow.protocol.model.TeamSpec
+import org.anvilbarrow.protocol.model.UpstreamId
+import org.anvilbarrow.protocol.model.UpstreamSpec
+import org.anvilbarrow.protocol.model.WorkloadSpec
+
+/** A declared object and its version: the offset of the log record that last changed it. */
+public data class Versioned<out T>(
+    val spec: T,
+    val version: Long,
+)
+
+/** All declared objects as of [appliedOffset]. */
+public data class Catalog(
+    val workloads: PersistentMap<String, Versioned<WorkloadSpec>> = persistentMapOf(),
+    val upstreams: PersistentMap<UpstreamId, Versioned<UpstreamSpec>> = persistentMapOf(),
+    val shards: PersistentMap<ShardId, Versioned<ShardSpec>> = persistentMapOf(),
+    val teams: PersistentMap<String, Versioned<TeamSpec>> = persistentMapOf(),
+    /** Offset after the last applied record. */
+    val appliedOffset: Long = 0,
+    /** True once every record up to a known end of the log was applied; a scheduler serves nothing before. */
+    val current: Boolean = false,
+)
