Connect schedulers over Ktor sockets

The receiver acknowledges with empty frames, because a sender gets nothing else back and could not tell a connection that lost its route from a live one.

--- /dev/null
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/FrameChannel.kt
@@ -0,0 +1,52 @@
+package org.anvilbarrow.adapters.peer
+
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeFully
+import io.ktor.utils.io.writeInt
+import kotlinx.coroutines.withTimeoutOrNull
+import org.anvilbarrow.protocol.codec.PeerCodec
+import java.io.IOException
+import java.time.Duration
+
+/** The connection has to be closed; [message] names the field, the value seen and the limit. */
+internal class PeerFault(
+    message: String,
+) : IOException(message)
+
+/** Reads and writes frames with a length prefix of four bytes; an empty frame acknowledges those before it. */
+internal class FrameChannel(
+    socket: Socket,
+    private val silence: Duration,
+) {
+    private val input = socket.openReadChannel()
+    private val output = socket.openWriteChannel(autoFlush = false)
+
+    /** Returns the next frame, which may be empty. */
+    suspend fun read(): ByteArray =
+        withTimeoutOrNull(silence.toMillis()) {
+            val length = input.readInt()
+            if (length < 0 || length > PeerCodec.MAX_FRAME_BYTES) {
+                throw PeerFault("frame length is $length bytes, the limit is ${PeerCodec.MAX_FRAME_BYTES}")
+            }
+            if (length == 0) EMPTY else input.readByteArray(length)
+        } ?: throw PeerFault("no whole frame arrived for $silence")
+
+    suspend fun write(frame: ByteArray) {
+        withTimeoutOrNull(silence.toMillis()) {
+            output.writeInt(frame.size)
+            output.writeFully(frame)
+            output.flush()
+        } ?: throw PeerFault("a frame of ${frame.size} bytes could not be written for $silence")
+    }
+
+    suspend fun acknowledge(): Unit = write(EMPTY)
+
+    companion object {
+        const val PREFIX_BYTES = 4
+        private val EMPTY = ByteArray(0)
+    }
+}
