Declare regions and their home shards

Cause: the shard of a request id is found by hashing over the shards of a region. If that list changes, a scheduler with an old catalog finds another home for the same id than the rest, and both homes hold valid leases. Change: a region names its home shards once; the list never changes afterwards. Home memory names the lease of each anchor with the upstream's incarnation, because epochs start again after a restart. Conclusion: no behaviour yet; the catalog has to refuse a change of the list.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/Catalog.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/Catalog.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.anvilbarrow.protocol.model.RegionSpec
 import org.anvilbarrow.protocol.model.ShardId
 import org.anvilbarrow.protocol.model.ShardSpec
 import org.anvilbarrow.protocol.model.TeamSpec
@@ -20,6 +21,7 @@
     val workloads: PersistentMap<String, Versioned<WorkloadSpec>> = persistentMapOf(),
     val upstreams: PersistentMap<UpstreamId, Versioned<UpstreamSpec>> = persistentMapOf(),
     val shards: PersistentMap<ShardId, Versioned<ShardSpec>> = persistentMapOf(),
+    val regions: PersistentMap<String, Versioned<RegionSpec>> = persistentMapOf(),
     val teams: PersistentMap<String, Versioned<TeamSpec>> = persistentMapOf(),
     /** Offset after the last applied record. */
     val appliedOffset: Long = 0,
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/model/Ids.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/model/Ids.kt
@@ -58,7 +58,12 @@
     override fun toString(): String = value
 }
 
-/** Identifies one HTTP exchange between a caller and one scheduler process; unique within the process. */
+/**
+ * Identifies one HTTP exchange between a caller and a scheduler.
+ *
+ * It is unique for the scheduler across restarts, because homes remember it: a process starts counting at its start time
+ * in microseconds.
+ */
 @Serializable
 @JvmInline
 public value class ExchangeId(
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/model/Outcome.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/model/Outcome.kt
@@ -63,6 +63,9 @@
 
     @SerialName("deadline_passed")
     DEADLINE_PASSED,
+
+    @SerialName("task_failed")
+    TASK_FAILED,
 }
 
 /** The one final outcome of a request that did not produce an answer body. */
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/model/Specs.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/model/Specs.kt
@@ -91,3 +91,15 @@
     val quota: Resources? = null,
     val weight: Int = 1,
 ) : ResourceSpec
+
+/**
+ * A region: the shards that are home to the request ids of its workloads.
+ *
+ * The list never changes after the region was created: a scheduler with an old catalog would otherwise send an id to
+ * another home than the rest.
+ */
+@Serializable
+@SerialName("region")
+public data class RegionSpec(
+    val homeShards: List<ShardId>,
+) : ResourceSpec
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/peer/PeerMessage.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/peer/PeerMessage.kt
@@ -94,7 +94,6 @@
     public data class TaskEnded(
         val task: TaskId,
         val upstream: UpstreamId,
-        val request: RequestId,
         val result: TaskResult,
     ) : PeerMessage
 
@@ -111,8 +110,8 @@
     @SerialName("home_memory")
     public data class HomeMemory(
         val shard: ShardId,
-        /** Lease epoch of each anchor when the sender stopped being home. */
-        val anchorEpochs: Map<UpstreamId, Long>,
+        /** Lease of each anchor when the sender stopped being home. */
+        val anchorLeases: List<AnchorLease>,
         /** The sender has a complete memory of ids issued after this instant. */
         val completeSinceEpochMillis: Long,
         val part: Int,
@@ -151,6 +150,14 @@
     val payload: String,
 )
 
+/** The lease that a home held on one of its anchors. */
+@Serializable
+public data class AnchorLease(
+    val upstream: UpstreamId,
+    val upstreamIncarnation: Long,
+    val epoch: Long,
+)
+
 /** One remembered request id. */
 @Serializable
 public data class RememberedId(
@@ -176,4 +183,8 @@
     /** The connection was lost; the task may still be running. */
     @SerialName("lost")
     LOST,
+
+    /** The ingress gave the task up on purpose; it may still be running. */
+    @SerialName("stopped")
+    STOPPED,
 }
