--- a/standins/src/main/kotlin/org/anvilbarrow/standins/upstream/LeaseTerm.kt
+++ b/standins/src/main/kotlin/org/anvilbarrow/standins/upstream/LeaseTerm.kt
@@ -29,7 +29,14 @@
         now: Instant,
     ): Boolean {
         val asking = Holder(request.scheduler, request.schedulerIncarnation)
-        val allowed = if (request.epoch == NEW_LEASE) !isHeld(now) && now >= quietUntil else isRenewal(request, asking, now)
+        val allowed =
+            if (request.epoch ==
+                NEW_LEASE
+            ) {
+                !isHeld(now) && now >= quietUntil
+            } else {
+                isRenewal(request, asking, now)
+            }
         val ttl = Duration.ofMillis(request.ttlMillis)
         if (!allowed || ttl > maxTtl || ttl <= Duration.ZERO) return false
         if (request.epoch == NEW_LEASE) {
