--- a/standins/src/main/kotlin/org/anvilbarrow/standins/upstream/AnswerCheck.kt
+++ b/standins/src/main/kotlin/org/anvilbarrow/standins/upstream/AnswerCheck.kt
@@ -59,12 +59,12 @@
 
         private fun readHead(answer: InputStream): ByteArray {
             val line = ByteArrayOutputStream()
-            while (line.size() < MAX_HEAD_BYTES) {
-                val byte = answer.read()
-                if (byte == -1) break
+            var byte = answer.read()
+            while (byte != -1 && byte != '\n'.code && line.size() < MAX_HEAD_BYTES) {
                 line.write(byte)
-                if (byte == '\n'.code) break
+                byte = answer.read()
             }
+            if (byte != -1) line.write(byte)
             return line.toByteArray()
         }
 
