--- /dev/null
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/CheckCommand.kt
@@ -0,0 +1,18 @@
+package org.anvilbarrow.scheduler.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.types.path
+
+/** `anvilbarrow check FILE`. */
+internal class CheckCommand : CliktCommand(name = "check") {
+    private val file by argument(help = "INI file with the settings").path()
+
+    override fun help(context: Context): String = "Checks settings, prints every fault, and ends with status 2 if any."
+
+    override fun run() {
+        val settings = readSettings(file)
+        echo("$file: scheduler ${settings.id} in ${settings.region} with ${settings.peers.size} peer(s); no faults")
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/RunCommand.kt
@@ -0,0 +1,22 @@
+package org.anvilbarrow.scheduler.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.types.path
+import org.anvilbarrow.adapters.telemetry.LogOutput
+import org.anvilbarrow.scheduler.process.SchedulerProcess
+
+/** `anvilbarrow run FILE`. */
+internal class RunCommand : CliktCommand(name = "run") {
+    private val file by argument(help = "INI file with the settings").path()
+
+    override fun help(context: Context): String = "Runs a scheduler until SIGTERM, which is a graceful shutdown."
+
+    override fun run() {
+        val settings = readSettings(file)
+        LogOutput.use(settings.logFormat)
+        val scheduler = SchedulerProcess(settings)
+        untilTerminated(start = { scheduler.start() }, stop = scheduler::stop)
+    }
+}
