--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/CallerRoutes.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/CallerRoutes.kt
@@ -41,7 +41,8 @@
                 "/v1/workloads/{name}/requests" bind Method.POST to ::request,
                 "/health" bind Method.GET to { text(Status.OK, "alive\n") },
                 "/ready" bind Method.GET to { ready() },
-                "/metrics" bind Method.GET to { Response(Status.OK).header("Content-Type", METRICS).body(metrics.render()) },
+                "/metrics" bind Method.GET to
+                    { Response(Status.OK).header("Content-Type", METRICS).body(metrics.render()) },
             )
         return routes(own + more)
     }
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/StreamingHandler.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/StreamingHandler.kt
@@ -29,6 +29,8 @@
         response: JettyResponse,
         callback: Callback,
     ): Boolean {
+        // A queued request may wait longer than the idle timeout; reads and writes that stall still fail.
+        request.addIdleTimeoutListener { false }
         val http4kRequest = request.toHttp4k()
         val answer = if (http4kRequest == null) Response(Status.NOT_IMPLEMENTED) else answer(http4kRequest)
         try {
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/IncomingConnection.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/IncomingConnection.kt
@@ -27,7 +27,9 @@
             traffic.received(peer, FrameChannel.PREFIX_BYTES + frame.size)
             when (val decoded = PeerCodec.decode(frame)) {
                 is DecodedFrame.Message -> onMessage(peer, decoded.message)
-                is DecodedFrame.Malformed -> throw PeerFault("frame of ${frame.size} bytes from $peer: ${decoded.detail}")
+                is DecodedFrame.Malformed -> throw PeerFault(
+                    "frame of ${frame.size} bytes from $peer: ${decoded.detail}",
+                )
             }
             acknowledge(elapsed().toMillis())
         }
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/PeerNetwork.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/PeerNetwork.kt
@@ -77,7 +77,9 @@
             while (true) {
                 val socket = it.accept()
                 if (incoming.incrementAndGet() > limits.maxIncoming) {
-                    log.error { "Closed a connection from ${socket.remoteAddress}: the limit is ${limits.maxIncoming}." }
+                    log.error {
+                        "Closed a connection from ${socket.remoteAddress}: the limit is ${limits.maxIncoming}."
+                    }
                     incoming.decrementAndGet()
                     socket.close()
                 } else {
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingKeys.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingKeys.kt
@@ -13,7 +13,13 @@
     internal val failureDomain =
         SettingKey("scheduler", "failure-domain", "", null, NAME_RULE, "Failure domain of that VM.", ::name)
     internal val stopGrace =
-        seconds("scheduler", "stop-grace", 600, 1..86_400, "Longest time that a planned stop waits for requests in flight.")
+        seconds(
+            "scheduler",
+            "stop-grace",
+            600,
+            1..86_400,
+            "Longest time that a planned stop waits for requests in flight.",
+        )
 
     internal val callerAddress =
         SettingKey("caller", "address", "", null, ADDRESS_RULE, "Where callers and probes connect.", ::address)
@@ -27,7 +33,15 @@
     internal val peerAddress =
         SettingKey("peers", "address", "", null, ADDRESS_RULE, "Where peers connect.", ::address)
     internal val otherAddress =
-        SettingKey("$PEER_SECTION ID", "address", "", null, ADDRESS_RULE, "Where the peer with this id listens.", ::address)
+        SettingKey(
+            "$PEER_SECTION ID",
+            "address",
+            "",
+            null,
+            ADDRESS_RULE,
+            "Where the peer with this id listens.",
+            ::address,
+        )
     internal val otherRegion =
         SettingKey("$PEER_SECTION ID", "region", "", null, NAME_RULE, "Region of that peer.", ::name)
 
@@ -44,15 +58,31 @@
     /** All keys in the order in which they are documented. */
     public val all: List<SettingKey<*>> =
         listOf(
-            id, region, failureDomain, stopGrace, callerAddress, maxBody, maxExchanges, idleTimeout,
-            peerAddress, otherAddress, otherRegion, logUrl, logPoll, vmListUrl, vmListPoll, logFormat,
+            id,
+            region,
+            failureDomain,
+            stopGrace,
+            callerAddress,
+            maxBody,
+            maxExchanges,
+            idleTimeout,
+            peerAddress,
+            otherAddress,
+            otherRegion,
+            logUrl,
+            logPoll,
+            vmListUrl,
+            vmListPoll,
+            logFormat,
         )
 
     /** Returns the table as Markdown. */
     public fun markdown(): String =
         all.joinToString("\n", prefix = HEADER, postfix = "\n") { key ->
             val default = key.default ?: "required"
-            "| `[${key.section}]` | `${key.name}` | ${key.unit.ifEmpty { "-" }} | $default | ${key.allowed} | ${key.meaning} |"
+            "| `[${key.section}]` | `${key.name}` | ${key.unit.ifEmpty {
+                "-"
+            }} | $default | ${key.allowed} | ${key.meaning} |"
         }
 
     private fun number(
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingsReader.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingsReader.kt
@@ -78,7 +78,13 @@
             if (id == self) fault(line, "[$section]", id, "ids of other schedulers only")
             val address = value(SettingKeys.otherAddress, section)
             val region = value(SettingKeys.otherRegion, section)
-            if (address == null || region == null) null else PeerAddress(SchedulerId(id), address.host, address.port, region)
+            if (address == null ||
+                region == null
+            ) {
+                null
+            } else {
+                PeerAddress(SchedulerId(id), address.host, address.port, region)
+            }
         }
 
     private fun <T : Any> value(
@@ -131,6 +137,10 @@
     private companion object {
         const val PEER_PREFIX = "${SettingKeys.PEER_SECTION} "
         const val BYTES_PER_KIBIBYTE = 1_024L
-        val SECTIONS = SettingKeys.all.map { "[${it.section}]" }.distinct().joinToString()
+        val SECTIONS =
+            SettingKeys.all
+                .map { "[${it.section}]" }
+                .distinct()
+                .joinToString()
     }
 }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/Exchanges.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/Exchanges.kt
@@ -27,7 +27,7 @@
     private val post: (Event) -> Unit,
 ) : WorkHandler {
     private val open = ConcurrentHashMap<ExchangeId, Exchange>()
-    private val lastId = AtomicLong()
+    private val lastId = AtomicLong(firstId(clock.instant()))
 
     operator fun get(id: ExchangeId): Exchange? = open[id]
 
@@ -96,6 +96,12 @@
         }
 
     private companion object {
+        const val MICROS_PER_SECOND = 1_000_000L
+        const val NANOS_PER_MICRO = 1_000
+
+        /** Homes remember exchange ids, so those of an earlier start of this scheduler must not come again. */
+        fun firstId(start: Instant): Long = start.epochSecond * MICROS_PER_SECOND + start.nano / NANOS_PER_MICRO
+
         val GRACE: Duration = Duration.ofSeconds(5)
     }
 }
