--- a/standins/src/main/kotlin/org/anvilbarrow/standins/upstream/TaskRunner.kt
+++ b/standins/src/main/kotlin/org/anvilbarrow/standins/upstream/TaskRunner.kt
@@ -33,13 +33,27 @@
         request: Request,
     ): Response {
         val body = request.body.stream.buffered(BUFFER_BYTES)
-        val parsed = RunSpec.readFrom(body)
-        if (parsed !is ParsedSpec.Valid) return malformed((parsed as ParsedSpec.Malformed).detail)
+        return when (val parsed = RunSpec.readFrom(body)) {
+            is ParsedSpec.Malformed -> malformed(parsed.detail).also { discard(body) }
+            is ParsedSpec.Valid -> start(model, instruction, parsed, body)
+        }
+    }
+
+    private fun start(
+        model: UpstreamModel,
+        instruction: TaskInstruction,
+        parsed: ParsedSpec.Valid,
+        body: InputStream,
+    ): Response {
         val stop = CountDownLatch(1)
-        if (stops.putIfAbsent(instruction.task, stop) != null) return refusal(StartDecision.Refused(TASK_RUNS))
+        val running = stops.putIfAbsent(instruction.task, stop) != null
+        val decision = if (running) StartDecision.Refused(StartRefusal.TASK_KNOWN) else model.start(instruction)
+        if (decision is StartDecision.Refused) {
+            stops.remove(instruction.task, stop)
+            discard(body)
+            return refusal(decision)
+        }
         val end = { endOf(model, instruction.task, stop) }
-        val decision = model.start(instruction)
-        if (decision is StartDecision.Refused) return refusal(decision).also { stops.remove(instruction.task, stop) }
         return runCatching { answer(instruction, parsed, body, stop, end) }.onFailure { end() }.getOrThrow()
     }
 
@@ -60,7 +74,6 @@
         val response =
             Response(Status.OK)
                 .header("Content-Type", "application/octet-stream")
-                .header(TaskHeaders.REQUEST_ID, instruction.requestId)
         val sized = if (parsed.spec.chunked) response else response.header("Content-Length", "${stream.length}")
         return sized.body(stream, stream.length)
     }
@@ -82,6 +95,17 @@
         return AnswerHead(instruction.requestId, parsed.spec.answerBytes, bytes, crc.value.toHex())
     }
 
+    /** A connection closed with unread bytes is reset, which can destroy the refusal on its way. */
+    private fun discard(body: InputStream) {
+        val buffer = ByteArray(BUFFER_BYTES)
+        var left = MAX_DISCARDED_BYTES
+        while (left > 0) {
+            val read = body.read(buffer)
+            if (read == -1) return
+            left -= read
+        }
+    }
+
     private fun endOf(
         model: UpstreamModel,
         task: TaskId,
@@ -92,7 +116,7 @@
 
     private companion object {
         const val BUFFER_BYTES = 16 * 1024
-        val TASK_RUNS = StartRefusal.TASK_KNOWN
+        const val MAX_DISCARDED_BYTES = 64L * 1024 * 1024
     }
 }
 
--- a/standins/src/main/kotlin/org/anvilbarrow/standins/upstream/UpstreamRoutes.kt
+++ b/standins/src/main/kotlin/org/anvilbarrow/standins/upstream/UpstreamRoutes.kt
@@ -4,6 +4,7 @@
 import org.anvilbarrow.protocol.upstream.LeaseRelease
 import org.anvilbarrow.protocol.upstream.LeaseReply
 import org.anvilbarrow.protocol.upstream.LeaseRequest
+import org.anvilbarrow.protocol.upstream.TaskHeaders
 import org.anvilbarrow.standins.http.error
 import org.anvilbarrow.standins.http.json
 import org.anvilbarrow.standins.http.withJson
@@ -53,15 +54,20 @@
         error(Status.BAD_REQUEST, "ttlMillis is $ttlMillis, but must be from 1 to ${settings.leaseTtl.toMillis()}")
     }
 
+/** Every reply repeats the request id, so that the sender can tell that it is the reply to its instruction. */
 private fun startTask(
     model: UpstreamModel,
     tasks: TaskRunner,
     request: Request,
-): Response =
-    when (val parsed = request.instruction(request.task())) {
-        is ParsedInstruction.Valid -> tasks.run(model, parsed.instruction, request)
-        is ParsedInstruction.Malformed -> malformed(parsed.detail)
-    }
+): Response {
+    val reply =
+        when (val parsed = request.instruction(request.task())) {
+            is ParsedInstruction.Valid -> tasks.run(model, parsed.instruction, request)
+            is ParsedInstruction.Malformed -> malformed(parsed.detail)
+        }
+    val requestId = request.headerValues(TaskHeaders.REQUEST_ID).joinToString(",")
+    return reply.header(TaskHeaders.REQUEST_ID, requestId)
+}
 
 /** Answers 204 if [change] applied to the task, or 404. */
 private fun Request.onRunning(
