--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/PeerNetwork.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/PeerNetwork.kt
@@ -6,15 +6,18 @@
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.awaitClosed
 import io.ktor.network.sockets.port
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
-import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import org.anvilbarrow.protocol.model.SchedulerId
 import org.anvilbarrow.protocol.peer.PeerMessage
 import java.time.Duration
@@ -48,10 +51,12 @@
     private val selector = SelectorManager(dispatcher)
     private val links = peers.associate { it.id to OutgoingLink(it, hello, selector, traffic, limits) }
     private val incoming = AtomicInteger()
+    private var listening: ServerSocket? = null
 
     /** Listens, connects to every peer and returns the port. */
     public fun start(): Int {
         val server = runBlocking { aSocket(selector).tcp().bind(host, port) { reuseAddress = true } }
+        listening = server
         scope.launch { accept(server) }
         links.values.forEach { link -> scope.launch { link.run() } }
         return (server.localAddress as InetSocketAddress).port
@@ -66,8 +71,15 @@
         if (link == null) traffic.dropped(to) else link.send(message)
     }
 
+    /** Closes all connections and waits until the port is free again. */
     override fun close() {
-        scope.cancel()
+        runBlocking {
+            withTimeoutOrNull(limits.silence.toMillis()) {
+                listening?.close()
+                listening?.awaitClosed()
+                scope.coroutineContext.job.cancelAndJoin()
+            }
+        }
         selector.close()
         threads.shutdown()
     }
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpCall.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpCall.kt
@@ -40,7 +40,9 @@
 
             is Sent.Answered ->
                 try {
-                    val body = sent.response.body.stream.readNBytes(maxReplyBytes + 1)
+                    val body =
+                        sent.response.body.stream
+                            .readNBytes(maxReplyBytes + 1)
                     if (body.size <= maxReplyBytes) {
                         CallReply.Replied(sent.response.status.code, body)
                     } else {
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpLogClient.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpLogClient.kt
@@ -63,7 +63,10 @@
             return ReadCallResult.Unreachable("the log answered ${reply.status}")
         }
         val gone = reply.status == STATUS_GONE
-        val decoded = reply.decode(RecordsPage.serializer()) { if (gone) it.behind(fromOffset) else it.problem(fromOffset) }
+        val decoded =
+            reply.decode(
+                RecordsPage.serializer(),
+            ) { if (gone) it.behind(fromOffset) else it.problem(fromOffset) }
         return when (decoded) {
             is DecodedReply.Malformed -> ReadCallResult.Unreachable(decoded.detail)
             is DecodedReply.Valid -> decoded.value.result(gone)
@@ -87,7 +90,13 @@
     }
 
     private fun RecordsPage.behind(fromOffset: Long): String? =
-        if (firstRetainedOffset <= fromOffset) "offset $fromOffset is gone, but $firstRetainedOffset is retained" else null
+        if (firstRetainedOffset <=
+            fromOffset
+        ) {
+            "offset $fromOffset is gone, but $firstRetainedOffset is retained"
+        } else {
+            null
+        }
 
     private fun CallReply.Replied.text(): String = body.decodeToString().take(MAX_DETAIL_CHARS).trim()
 
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/EffectRunner.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/EffectRunner.kt
@@ -2,8 +2,8 @@
 
 import org.anvilbarrow.adapters.http.CallerAnswer
 import org.anvilbarrow.kernel.core.Effect
-import org.anvilbarrow.protocol.model.Outcome
 import org.anvilbarrow.protocol.model.ExchangeId
+import org.anvilbarrow.protocol.model.Outcome
 import org.anvilbarrow.protocol.model.SchedulerId
 import org.anvilbarrow.protocol.peer.PeerMessage
 
@@ -28,13 +28,12 @@
             is Effect.StopCompleted -> stopCompleted()
         }
 
-    /** The answer of a failed task tells the caller more than the outcome that followed from it. */
     private fun answer(
         id: ExchangeId,
         outcome: Outcome,
     ) {
         val exchange = exchanges[id] ?: return
-        exchange.answer(exchange.heldFailure ?: CallerAnswer.Final(outcome))
+        exchange.answer(CallerAnswer.Final(outcome))
         exchanges.taskEnded(exchange)
     }
 }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/Exchange.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/Exchange.kt
@@ -32,10 +32,6 @@
     @Volatile
     var abandoned: Boolean = false
 
-    /** Answer of a failed task of idempotent work, given to the caller if no retry succeeds. */
-    @Volatile
-    var heldFailure: CallerAnswer.Streamed? = null
-
     val isAnswered: Boolean get() = answer.isDone
 
     val bodyBytes: Long get() = body.bytes
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/LogFollower.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/LogFollower.kt
@@ -5,7 +5,6 @@
 import org.anvilbarrow.adapters.platform.LogClient
 import org.anvilbarrow.adapters.platform.ReadCallResult
 import org.anvilbarrow.kernel.core.Event
-import java.time.Duration
 
 private val log = KotlinLogging.logger("anvilbarrow.log")
 
@@ -23,7 +22,11 @@
             is ReadCallResult.Page -> {
                 if (!reachable) log.info { "The log answers again." }
                 reachable = true
-                nextOffset = (result.page.records.lastOrNull()?.offset ?: (nextOffset - 1)) + 1
+                nextOffset = (
+                    result.page.records
+                        .lastOrNull()
+                        ?.offset ?: (nextOffset - 1)
+                ) + 1
                 post(Event.LogRead(result.page.records, result.page.endOffset))
                 result.page.records.isNotEmpty() && nextOffset < result.page.endOffset
             }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/TaskRunner.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/TaskRunner.kt
@@ -118,8 +118,6 @@
     ) {
         if (!run.primary) {
             answer.body.discard()
-        } else if (run.effect.idempotent && answer.status >= FIRST_SERVER_ERROR) {
-            exchange.heldFailure = held(exchange, answer)
         } else {
             val relay = AnswerRelay(answer.body)
             run.answerStarted =
@@ -128,21 +126,11 @@
         }
     }
 
-    private fun held(
-        exchange: Exchange,
-        answer: TaskAnswer,
-    ): CallerAnswer.Streamed {
-        val start = answer.body.readNBytes(CallerLimits.BUFFER_BYTES)
-        answer.body.discard()
-        return CallerAnswer.Streamed(exchange.id.value, answer.status, answer.contentType, start.inputStream())
-    }
-
     private fun InputStream.discard() {
         transferTo(OutputStream.nullOutputStream())
     }
 
     private companion object {
-        const val FIRST_SERVER_ERROR = 500
         val MIN_TIMEOUT: Duration = Duration.ofMillis(1)
     }
 }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/Cell.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/Cell.kt
@@ -50,7 +50,12 @@
     }
 
     /** Stops every scheduler gracefully, all at the same time; returns false if one did not complete. */
-    fun stopSchedulers(): Boolean = schedulers.parallelStream().map { it.stop() }.toList().all { it }
+    fun stopSchedulers(): Boolean =
+        schedulers
+            .parallelStream()
+            .map { it.stop() }
+            .toList()
+            .all { it }
 
     override fun close() {
         upstreams.values.forEach { it.close() }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/CellAudit.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/CellAudit.kt
@@ -16,7 +16,10 @@
         gang: String,
         gangTasks: Int,
     ): List<String> {
-        val overfilled = audits.filterValues { it.overfills > 0 }.map { (id, a) -> "$id was overfilled ${a.overfills} times" }
+        val overfilled =
+            audits.filterValues { it.overfills > 0 }.map { (id, a) ->
+                "$id was overfilled ${a.overfills} times"
+            }
         val runs =
             starts.mapNotNull { (request, records) ->
                 val expected = if (records.first().workload == gang) gangTasks else 1
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/CellClient.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/CellClient.kt
@@ -50,7 +50,8 @@
             try {
                 val response = http(request)
                 val outcome = response.header(CallerHeaders.OUTCOME) ?: "status ${response.status.code}"
-                outcome to (if (outcome == ANSWERED) checked(response.body.stream, requestId) else response.bodyString())
+                outcome to
+                    (if (outcome == ANSWERED) checked(response.body.stream, requestId) else response.bodyString())
             } catch (e: IOException) {
                 "no outcome" to (e.message ?: e.javaClass.simpleName)
             }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/Quickstart.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/Quickstart.kt
@@ -3,14 +3,13 @@
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.ShardId
 import org.anvilbarrow.protocol.model.ShardSpec
-import org.anvilbarrow.protocol.model.Urgency
 import org.anvilbarrow.protocol.model.UpstreamId
 import org.anvilbarrow.protocol.model.UpstreamSpec
+import org.anvilbarrow.protocol.model.Urgency
 import org.anvilbarrow.protocol.model.WorkloadKind
 import org.anvilbarrow.protocol.model.WorkloadSpec
 import org.anvilbarrow.standins.upstream.UpstreamSettings
 import java.time.Duration
-import java.time.Instant
 import java.time.InstantSource
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/QuickstartReport.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/QuickstartReport.kt
@@ -10,7 +10,11 @@
     private val gang: String,
     private val gangTasks: Int,
 ) {
-    private val missing = seen.filter { it.outcome !in OUTCOMES || (it.outcome == CellClient.ANSWERED && it.detail != "") }
+    private val missing =
+        seen.filter {
+            it.outcome !in OUTCOMES ||
+                (it.outcome == CellClient.ANSWERED && it.detail != "")
+        }
 
     /** True if every request got exactly one outcome and no upstream saw a fault. */
     val isGood: Boolean get() = missing.isEmpty() && faults.isEmpty()
