Make the kernel's decisions: leases, homes, placement, outcomes

Cause: the kernel answered nothing. Change: schedulers lease upstreams, hand shards over with the memory of their ids, accept each id once at its home, place on their own upstreams and on their peers', and give every exchange one outcome.

--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/CatalogReader.kt
@@ -0,0 +1,33 @@
+package org.anvilbarrow.kernel.catalog
+
+import org.anvilbarrow.kernel.core.Event
+import org.anvilbarrow.kernel.core.Turn
+import org.anvilbarrow.kernel.home.HomeOffices
+import org.anvilbarrow.kernel.membership.Membership
+
+/** Keeps the scheduler's catalog up to date with the log. */
+internal object CatalogReader {
+    fun onLogRead(
+        turn: Turn,
+        read: Event.LogRead,
+    ) {
+        val applied = CatalogFold.apply(turn.state.catalog, read.records).catalog
+        use(turn, CatalogFold.markCurrent(applied, read.endOffset))
+    }
+
+    fun onCompacted(
+        turn: Turn,
+        firstRetainedOffset: Long,
+    ) = use(turn, CatalogFold.restartAt(turn.state.catalog, firstRetainedOffset))
+
+    private fun use(
+        turn: Turn,
+        catalog: Catalog,
+    ) {
+        if (catalog == turn.state.catalog) return
+        turn.state = turn.state.copy(catalog = catalog)
+        Membership.refreshIntendedOwners(turn)
+        catalog.shards.keys.forEach { HomeOffices.refresh(turn, it) }
+        turn.dispatchNeeded = true
+    }
+}
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/Event.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/Event.kt
@@ -47,6 +47,11 @@
         val sentAt: Instant,
     ) : Event
 
+    /** The first byte of an answer goes to the caller of [exchange]; from now on its deadline does not end it. */
+    public data class AnswerStarted(
+        val exchange: ExchangeId,
+    ) : Event
+
     /** One task of an [Effect.Execute] ended at this ingress. */
     public data class TaskFinished(
         val exchange: ExchangeId,
@@ -62,6 +67,11 @@
         val endOffset: Long,
     ) : Event
 
+    /** The log no longer keeps the records that were asked for; those from [firstRetainedOffset] on are kept. */
+    public data class LogCompacted(
+        val firstRetainedOffset: Long,
+    ) : Event
+
     /** The log did not answer. */
     public data object LogUnreachable : Event
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/KernelLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/KernelLimits.kt
@@ -12,11 +12,13 @@
     /** Interval of lease renewals; two may be lost before a lease lapses. */
     val leaseRenewal: Duration = Duration.ofSeconds(1),
     /** Interval of attempts to take a lease that another scheduler may still hold. */
-    val leaseRetry: Duration = Duration.ofMillis(500),
+    val leaseRetry: Duration = Duration.ofMillis(250),
     /** Part of the lease that the owner does not use, for clocks that drift apart by 1%. */
     val leaseMargin: Duration = Duration.ofMillis(50),
     /** How long an unused grant is valid. */
     val grantTtl: Duration = Duration.ofSeconds(1),
+    /** How long a shard that is handed over is held on to, so that grants given before are used under its leases. */
+    val closing: Duration = Duration.ofMillis(1_200),
     /** Interval of heartbeats to peers. */
     val heartbeat: Duration = Duration.ofSeconds(1),
     /** A peer is taken for dead after this time without a heartbeat. */
@@ -33,8 +35,8 @@
     val peerReply: Duration = Duration.ofSeconds(1),
     /** Most requests queued at one scheduler as home. */
     val maxQueued: Int = 20_000,
-    /** Most executions of one idempotent request. */
-    val maxRounds: Int = 3,
+    /** How often the tasks of one request are started at most. */
+    val maxExecutions: Int = 3,
     /** Share of requests that may be executed a second time, over a sliding window. */
     val retryBudgetRatio: Double = 0.1,
 )
--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/membership/Membership.kt
@@ -0,0 +1,120 @@
+package org.anvilbarrow.kernel.membership
+
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+import org.anvilbarrow.kernel.core.Turn
+import org.anvilbarrow.kernel.placement.freeCapacity
+import org.anvilbarrow.kernel.shard.OwnerCandidate
+import org.anvilbarrow.kernel.shard.ShardAssignment
+import org.anvilbarrow.protocol.log.VmEntry
+import org.anvilbarrow.protocol.log.VmState
+import org.anvilbarrow.protocol.model.SchedulerId
+import org.anvilbarrow.protocol.model.ShardId
+import org.anvilbarrow.protocol.model.UpstreamId
+import org.anvilbarrow.protocol.peer.PeerMessage
+import java.time.Duration
+
+/** Keeps track of live peers, of leaving upstreams, and of who is meant to own which shard. */
+internal object Membership {
+    /** A drain notice that no log record confirmed is forgotten after this time. */
+    private val DRAIN_NOTICE_TTL: Duration = Duration.ofSeconds(60)
+
+    fun onHeartbeat(
+        turn: Turn,
+        heartbeat: PeerMessage.Heartbeat,
+    ) {
+        turn.updateMembership {
+            copy(peers = peers.put(heartbeat.scheduler, PeerView(heartbeat, turn.now, heartbeat.free)))
+        }
+        turn.dispatchNeeded = true
+    }
+
+    fun onVmList(
+        turn: Turn,
+        vms: List<VmEntry>,
+    ) {
+        val leaving = vms.filter { it.state == VmState.LEAVING }.map { UpstreamId(it.name) }
+        turn.updateMembership { copy(leavingVms = leaving.toPersistentSet()) }
+    }
+
+    fun onDrainNotice(
+        turn: Turn,
+        upstream: UpstreamId,
+    ) {
+        turn.updateMembership { copy(drainNotices = drainNotices.put(upstream, turn.now)) }
+    }
+
+    fun onTick(turn: Turn) {
+        forgetOldNotices(turn)
+        refreshIntendedOwners(turn)
+        val membership = turn.state.membership
+        if (turn.now >= membership.lastHeartbeatAt + turn.limits.heartbeat || membership.peerWaits) {
+            sendHeartbeats(turn)
+        }
+    }
+
+    fun sendHeartbeats(turn: Turn) {
+        val heartbeat = heartbeat(turn)
+        turn.updateMembership { copy(lastHeartbeatAt = turn.now, peerWaits = false) }
+        turn.state.membership.configuredPeers
+            .forEach { turn.send(it, heartbeat) }
+    }
+
+    /** Works out anew who is meant to own each shard. */
+    fun refreshIntendedOwners(turn: Turn) {
+        val shardRegions =
+            turn.state.catalog.shards
+                .mapValues { it.value.spec.region }
+        val intended = ShardAssignment.assign(shardRegions, liveOwners(turn)).toPersistentMap()
+        if (intended != turn.state.membership.intendedOwners) {
+            turn.updateMembership { copy(intendedOwners = intended) }
+        }
+    }
+
+    private fun liveOwners(turn: Turn): List<OwnerCandidate> {
+        val state = turn.state
+        val peers =
+            state.membership.peers.values
+                .filter { it.isLive(turn.now, turn.limits.peerTimeout) && !it.heartbeat.stopping }
+                .map { OwnerCandidate(it.heartbeat.scheduler, it.heartbeat.region) }
+        val self = OwnerCandidate(state.self.id, state.self.region)
+        return if (state.stopping) peers else peers + self
+    }
+
+    private fun heartbeat(turn: Turn): PeerMessage.Heartbeat {
+        val state = turn.state
+        return PeerMessage.Heartbeat(
+            scheduler = state.self.id,
+            incarnation = state.self.incarnation,
+            region = state.self.region,
+            failureDomain = state.self.failureDomain,
+            stopping = state.stopping,
+            homeOf = state.homeShards(turn.now),
+            free = turn.freeCapacity(),
+            appliedOffset = state.catalog.appliedOffset,
+        )
+    }
+
+    private fun forgetOldNotices(turn: Turn) {
+        val old =
+            turn.state.membership.drainNotices
+                .filterValues { it + DRAIN_NOTICE_TTL < turn.now }
+                .keys
+        if (old.isEmpty()) return
+        turn.updateMembership {
+            copy(
+                drainNotices = old.fold(drainNotices) { left, upstream -> left.remove(upstream) },
+            )
+        }
+    }
+}
+
+/** Returns the live scheduler that says it is home to [shard], preferring this one. */
+internal fun Turn.knownHomeOf(shard: ShardId): SchedulerId? {
+    if (shard in state.homeShards(now)) return self
+    return state.membership.peers.values
+        .filter { shard in it.heartbeat.homeOf && it.isLive(now, limits.peerTimeout) }
+        .maxByOrNull { it.heardAt }
+        ?.heartbeat
+        ?.scheduler
+}
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/model/Ids.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/model/Ids.kt
@@ -61,8 +61,8 @@
 /**
  * Identifies one HTTP exchange between a caller and a scheduler.
  *
- * It is unique for the scheduler across restarts, because homes remember it: a process starts counting at its start time
- * in microseconds.
+ * It is unique for the scheduler across restarts, because homes remember it: a process starts counting at its start
+ * time in microseconds.
  */
 @Serializable
 @JvmInline
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/model/Outcome.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/model/Outcome.kt
@@ -55,6 +55,9 @@
     @SerialName("issued_too_long_ago")
     ISSUED_TOO_LONG_AGO,
 
+    @SerialName("home_not_asked")
+    HOME_NOT_ASKED,
+
     @SerialName("home_unreachable")
     HOME_UNREACHABLE,
 
