Run the quickstart on the kernel

Posts AnswerStarted and LogCompacted, declares the region, reads a log page again if the kernel failed to handle it.

--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/PeerNetwork.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/PeerNetwork.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
@@ -20,6 +21,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.anvilbarrow.protocol.model.SchedulerId
 import org.anvilbarrow.protocol.peer.PeerMessage
+import java.io.IOException
 import java.time.Duration
 import java.time.InstantSource
 import java.util.concurrent.Executors
@@ -75,30 +77,37 @@
     override fun close() {
         runBlocking {
             withTimeoutOrNull(limits.silence.toMillis()) {
+                scope.coroutineContext.job.cancelAndJoin()
                 listening?.close()
                 listening?.awaitClosed()
-                scope.coroutineContext.job.cancelAndJoin()
             }
         }
         selector.close()
         threads.shutdown()
     }
 
-    private suspend fun accept(server: ServerSocket): Unit =
-        server.use {
-            while (true) {
-                val socket = it.accept()
-                if (incoming.incrementAndGet() > limits.maxIncoming) {
-                    log.error {
-                        "Closed a connection from ${socket.remoteAddress}: the limit is ${limits.maxIncoming}."
-                    }
-                    incoming.decrementAndGet()
-                    socket.close()
-                } else {
-                    scope.launch { serve(socket) }
-                }
+    /** A connection that cannot be accepted, for example for lack of file descriptors, must not end the listening. */
+    private suspend fun accept(server: ServerSocket) {
+        while (true) {
+            try {
+                admit(server.accept())
+            } catch (e: IOException) {
+                currentCoroutineContext().ensureActive()
+                log.error { "A connection could not be accepted: ${e.message ?: e.javaClass.simpleName}." }
+                delay(limits.firstBackoff.toMillis())
             }
         }
+    }
+
+    private fun admit(socket: Socket) {
+        if (incoming.incrementAndGet() > limits.maxIncoming) {
+            log.error { "Closed a connection from ${socket.remoteAddress}: the limit is ${limits.maxIncoming}." }
+            incoming.decrementAndGet()
+            socket.close()
+        } else {
+            scope.launch { serve(socket) }
+        }
+    }
 
     @Suppress("TooGenericExceptionCaught") // Ktor's sockets throw several unrelated types for a broken connection.
     private suspend fun serve(socket: Socket) {
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/LogFollower.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/LogFollower.kt
@@ -11,13 +11,22 @@
 /** Reads the log from its start on and posts what it finds; also carries out the kernel's appends. */
 internal class LogFollower(
     private val client: LogClient,
+    /** Offset of the next record that the kernel needs. */
+    private val neededOffset: () -> Long,
     private val post: (Event) -> Unit,
 ) {
     private var nextOffset = 0L
     private var reachable = true
+    private var atEnd = false
 
     /** Reads one page; returns true if more may follow at once. */
-    fun poll(): Boolean =
+    fun poll(): Boolean {
+        // A page that the kernel failed to handle is read again; the kernel ignores records that it has.
+        if (atEnd) nextOffset = minOf(nextOffset, neededOffset())
+        return read().also { more -> atEnd = !more }
+    }
+
+    private fun read(): Boolean =
         when (val result = client.read(nextOffset)) {
             is ReadCallResult.Page -> {
                 if (!reachable) log.info { "The log answers again." }
@@ -33,6 +42,7 @@
             is ReadCallResult.Compacted -> {
                 log.warn { "The log no longer keeps offset $nextOffset; reading from ${result.firstRetainedOffset}." }
                 nextOffset = result.firstRetainedOffset
+                post(Event.LogCompacted(result.firstRetainedOffset))
                 true
             }
             is ReadCallResult.Unreachable -> {
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/SchedulerProcess.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/SchedulerProcess.kt
@@ -67,7 +67,7 @@
     private val exchanges = Exchanges(clock, metrics, { loop.offer(it) }, { loop.post(it) })
     private val tasks = TaskRunner(upstreams, clock, exchanges, metrics, taskThreads) { loop.post(it) }
     private val leases = LeaseCaller(upstreams, leaseThreads, suspectThreads) { loop.post(it) }
-    private val logFollower = LogFollower(logClient) { loop.post(it) }
+    private val logFollower = LogFollower(logClient, { loop.state.catalog.nextOffset }) { loop.post(it) }
     private val peers =
         PeerNetwork(
             PeerHello(PeerHello.PROTOCOL_VERSION, identity.id, identity.incarnation),
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/TaskRunner.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/TaskRunner.kt
@@ -106,10 +106,11 @@
         return client.startTask(run.grant, start) { answer -> relay(run, exchange, answer) }
     }
 
+    /** The kernel ends the exchange at the deadline, but an answer that has started may go on after it. */
     private fun timeLeft(
         now: Instant,
         deadline: Instant,
-    ): Duration = maxOf(Duration.between(now, deadline), MIN_TIMEOUT)
+    ): Duration = maxOf(Duration.between(now, deadline), Duration.ZERO).plus(ANSWER_AFTER_DEADLINE)
 
     private fun relay(
         run: Run,
@@ -122,7 +123,10 @@
             val relay = AnswerRelay(answer.body)
             run.answerStarted =
                 exchange.answer(CallerAnswer.Streamed(exchange.id.value, answer.status, answer.contentType, relay))
-            if (run.answerStarted) relay.awaitEnd()
+            if (run.answerStarted) {
+                post(Event.AnswerStarted(exchange.id))
+                relay.awaitEnd()
+            }
         }
     }
 
@@ -131,6 +135,6 @@
     }
 
     private companion object {
-        val MIN_TIMEOUT: Duration = Duration.ofMillis(1)
+        val ANSWER_AFTER_DEADLINE: Duration = Duration.ofMinutes(5)
     }
 }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/Cell.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/Cell.kt
@@ -58,6 +58,7 @@
             .all { it }
 
     override fun close() {
+        schedulers.forEach { it.close() }
         upstreams.values.forEach { it.close() }
         logClient.close()
         log.close()
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/Quickstart.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/Quickstart.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.scheduler.quickstart
 
+import org.anvilbarrow.protocol.model.RegionSpec
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.ShardId
 import org.anvilbarrow.protocol.model.ShardSpec
@@ -48,6 +49,7 @@
             val members = cell.upstreams.keys.filter { shardOf(it) == index }
             cell.declare("shard", shard.value, ShardSpec(Cell.REGION, members))
         }
+        cell.declare("region", Cell.REGION, RegionSpec(SHARDS))
         cell.upstreams.keys.forEach { cell.declare("upstream", it.value, upstream(cell, it, draining = false)) }
         cell.declare("workload", SERVICE, workload(WorkloadKind.SERVICE, Urgency.URGENT, runMillis = 20))
         cell.declare("workload", BATCH, workload(WorkloadKind.BATCH, Urgency.DEFERRABLE, runMillis = 300))
