--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/CatalogReader.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/CatalogReader.kt
@@ -11,6 +11,7 @@
         turn: Turn,
         read: Event.LogRead,
     ) {
+        CatalogSync.onLogAnswer(turn, LogExtent(read.firstRetainedOffset, read.endOffset))
         val applied = CatalogFold.apply(turn.state.catalog, read.records).catalog
         use(turn, CatalogFold.markCurrent(applied, read.endOffset))
     }
@@ -20,7 +21,8 @@
         firstRetainedOffset: Long,
     ) = use(turn, CatalogFold.restartAt(turn.state.catalog, firstRetainedOffset))
 
-    private fun use(
+    /** Goes on with [catalog]. */
+    fun use(
         turn: Turn,
         catalog: Catalog,
     ) {
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/Event.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/Event.kt
@@ -65,6 +65,8 @@
     public data class LogRead(
         val records: List<LogRecord>,
         val endOffset: Long,
+        /** Lowest offset that the log still keeps. */
+        val firstRetainedOffset: Long = 0,
     ) : Event
 
     /** The log no longer keeps the records that were asked for; those from [firstRetainedOffset] on are kept. */
@@ -75,6 +77,11 @@
     /** The log did not answer. */
     public data object LogUnreachable : Event
 
+    /** An operator asked to drain an upstream; its log record may not have been read yet. */
+    public data class DrainRequested(
+        val upstream: UpstreamId,
+    ) : Event
+
     /** The VM list was read. */
     public data class VmListRead(
         val vms: List<VmEntry>,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/Kernel.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/Kernel.kt
@@ -2,6 +2,9 @@
 
 import kotlinx.collections.immutable.toPersistentList
 import org.anvilbarrow.kernel.catalog.CatalogReader
+import org.anvilbarrow.kernel.catalog.CatalogSync
+import org.anvilbarrow.kernel.catalog.CatalogSyncState
+import org.anvilbarrow.kernel.catalog.SnapshotSchedule
 import org.anvilbarrow.kernel.home.Dispatcher
 import org.anvilbarrow.kernel.home.Handover
 import org.anvilbarrow.kernel.home.HomeDesk
@@ -43,6 +46,7 @@
             membership = MembershipState(now, peers.toPersistentList()),
             home = HomeState(requestChecks = DueTimes.startingAt(now), idExpiry = DueTimes.startingAt(now)),
             ingress = IngressState(checks = DueTimes.startingAt(now)),
+            sync = CatalogSyncState(logAnsweredAt = now, schedule = SnapshotSchedule(seenAt = now)),
         )
     }
 
@@ -74,6 +78,7 @@
             is Event.LogRead -> CatalogReader.onLogRead(turn, event)
             is Event.LogCompacted -> CatalogReader.onCompacted(turn, event.firstRetainedOffset)
             is Event.LogUnreachable -> Unit
+            is Event.DrainRequested -> Membership.announceDrain(turn, event.upstream)
             is Event.VmListRead -> Membership.onVmList(turn, event.vms)
             is Event.StopRequested -> onStopRequested(turn)
         }
@@ -95,6 +100,7 @@
 
     private fun onTick(turn: Turn) {
         Membership.onTick(turn)
+        CatalogSync.onTick(turn)
         LeaseKeeper.onTick(turn)
         Handover.onTick(turn)
         HomeRequests.onTick(turn)
@@ -124,7 +130,8 @@
             is PeerMessage.Cancel -> HomeRequests.onCancel(turn, from, message.exchange)
             is PeerMessage.HomeMemory -> Handover.onHomeMemory(turn, message)
             is PeerMessage.DrainNotice -> Membership.onDrainNotice(turn, message.upstream)
-            is PeerMessage.CatalogRequest, is PeerMessage.CatalogPart -> Unit
+            is PeerMessage.CatalogRequest -> CatalogSync.onRequest(turn, from, message)
+            is PeerMessage.CatalogPart -> CatalogSync.onPart(turn, message.part)
         }
     }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/SchedulerState.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/SchedulerState.kt
@@ -1,6 +1,7 @@
 package org.anvilbarrow.kernel.core
 
 import org.anvilbarrow.kernel.catalog.Catalog
+import org.anvilbarrow.kernel.catalog.CatalogSyncState
 import org.anvilbarrow.kernel.home.HomeState
 import org.anvilbarrow.kernel.ingress.IngressState
 import org.anvilbarrow.kernel.lease.LeaseState
@@ -22,6 +23,7 @@
     internal val lease: LeaseState = LeaseState(),
     internal val home: HomeState,
     internal val ingress: IngressState,
+    internal val sync: CatalogSyncState,
     /** Counts the tasks that this scheduler named. */
     internal val lastTask: Long = 0,
 ) {
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/Turn.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/Turn.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.kernel.core
 
+import org.anvilbarrow.kernel.catalog.CatalogSyncState
 import org.anvilbarrow.kernel.home.HomeState
 import org.anvilbarrow.kernel.ingress.IngressState
 import org.anvilbarrow.kernel.lease.LeaseState
@@ -57,6 +58,10 @@
         state = state.copy(ingress = state.ingress.change())
     }
 
+    inline fun updateSync(change: CatalogSyncState.() -> CatalogSyncState) {
+        state = state.copy(sync = state.sync.change())
+    }
+
     inline fun updateMembership(change: MembershipState.() -> MembershipState) {
         state = state.copy(membership = state.membership.change())
     }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/membership/Membership.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/membership/Membership.kt
@@ -44,6 +44,16 @@
         turn.updateMembership { copy(drainNotices = drainNotices.put(upstream, turn.now)) }
     }
 
+    /** Stops new work on [upstream] everywhere, before its log record is read. */
+    fun announceDrain(
+        turn: Turn,
+        upstream: UpstreamId,
+    ) {
+        onDrainNotice(turn, upstream)
+        turn.state.membership.configuredPeers
+            .forEach { turn.send(it, PeerMessage.DrainNotice(upstream)) }
+    }
+
     fun onTick(turn: Turn) {
         forgetOldNotices(turn)
         refreshIntendedOwners(turn)
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/peer/PeerMessage.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/peer/PeerMessage.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.anvilbarrow.protocol.log.CatalogPayload
 import org.anvilbarrow.protocol.model.ExchangeId
 import org.anvilbarrow.protocol.model.Outcome
 import org.anvilbarrow.protocol.model.RequestId
@@ -119,20 +120,18 @@
         val ids: List<RememberedId>,
     ) : PeerMessage
 
-    /** Asks a peer for catalog records, when the log does not answer. */
+    /** Asks a peer for its catalog, if it has applied at least [fromOffset]; sent while the log does not answer. */
     @Serializable
     @SerialName("catalog_request")
     public data class CatalogRequest(
         val fromOffset: Long,
     ) : PeerMessage
 
-    /** Answers [CatalogRequest] with log records in offset order. */
+    /** Answers [CatalogRequest] with one part of the sender's catalog. */
     @Serializable
     @SerialName("catalog_part")
     public data class CatalogPart(
-        val records: List<CatalogRecord>,
-        /** Offset after the last record that the sender applied. */
-        val appliedOffset: Long,
+        val part: CatalogPayload.Snapshot,
     ) : PeerMessage
 
     /** Asks every scheduler to stop new work on an upstream before the log record of the drain is read. */
@@ -143,13 +142,6 @@
     ) : PeerMessage
 }
 
-/** A log record as peers pass it on: its offset and its encoded payload. */
-@Serializable
-public data class CatalogRecord(
-    val offset: Long,
-    val payload: String,
-)
-
 /** The lease that a home held on one of its anchors. */
 @Serializable
 public data class AnchorLease(
