--- a/standins/src/main/kotlin/org/anvilbarrow/standins/http/JsonMessages.kt
+++ b/standins/src/main/kotlin/org/anvilbarrow/standins/http/JsonMessages.kt
@@ -34,13 +34,18 @@
     serializer: KSerializer<T>,
     value: T,
     status: Status = Status.OK,
-): Response =
-    Response(status)
-        .header("Content-Type", "application/json")
-        .body(strictJson.encodeToString(serializer, value))
+): Response = Response(status).text("application/json", strictJson.encodeToString(serializer, value))
 
 /** Answers [status] with one line that says what is wrong. */
 internal fun error(
     status: Status,
     detail: String,
-): Response = Response(status).header("Content-Type", "text/plain").body("$detail\n")
+): Response = Response(status).text("text/plain", "$detail\n")
+
+private fun Response.text(
+    contentType: String,
+    content: String,
+): Response =
+    header("Content-Type", contentType)
+        .header("Content-Length", "${content.toByteArray().size}")
+        .body(content)
