--- /dev/null
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Checker.kt
@@ -0,0 +1,96 @@
+package org.anvilbarrow.kernel.proof
+
+import org.anvilbarrow.kernel.core.Effect
+import org.anvilbarrow.kernel.core.Event
+import org.anvilbarrow.kernel.core.SchedulerState
+import org.anvilbarrow.protocol.model.Resources
+import org.anvilbarrow.protocol.peer.Grant
+import org.anvilbarrow.protocol.peer.PeerMessage
+
+/** Compares what the kernels decide with what really happens, after every step and every start of a task. */
+internal class Checker(
+    private val world: World,
+) {
+    private val found = ArrayList<Violation>()
+    private val runs = RunChecks(world, ::report)
+    private val outcomes = OutcomeChecks(world, ::report)
+    private val leaving = LeavingChecks(world, ::report)
+    private val catalogs = CatalogChecks(world, ::report)
+    val violations: List<Violation> get() = found
+
+    fun beforeStep(
+        host: SchedulerHost,
+        event: Event,
+    ) {
+        leaving.signs(host, event)
+        outcomes.told(host, event)
+    }
+
+    fun afterStep(
+        host: SchedulerHost,
+        before: SchedulerState,
+        event: Event,
+        effects: List<Effect>,
+    ) {
+        catalogs.check(host, before, event, effects)
+        for (effect in effects) {
+            when (effect) {
+                is Effect.Execute -> outcomes.execute(host, effect)
+                is Effect.Answer -> runs.answered(outcomes.answer(host, effect), effect)
+                is Effect.Abandon -> outcomes.abandon(host, effect)
+                is Effect.StopCompleted -> outcomes.stopCompleted(host)
+                is Effect.SendToPeer -> (effect.message as? PeerMessage.Heartbeat)?.let { oneHome(host, it) }
+                else -> Unit
+            }
+        }
+    }
+
+    fun started(
+        exchange: Exchange,
+        grant: Grant,
+        upstream: FakeUpstream,
+    ) {
+        overfilled(upstream)
+        runs.started(exchange, grant, upstream)
+        leaving.started(grant)
+    }
+
+    fun opened(exchange: Exchange) {
+        world.callers.opened(exchange)
+        outcomes.awaitOutcome(exchange)
+    }
+
+    fun appended() = catalogs.appended()
+
+    fun stuck(detail: String) = report(Point.STUCK, detail)
+
+    private fun overfilled(upstream: FakeUpstream) {
+        val used = upstream.running.values.fold(Resources.NONE) { sum, run -> sum + run.grant.resources }
+        if (!used.fitsIn(upstream.spec.capacity)) {
+            report(Point.P1_OVERFILLED, "${upstream.id} runs $used of ${upstream.spec.capacity}")
+        }
+    }
+
+    /** While a scheduler says that it is home, no other may hold the leases of most anchors. */
+    private fun oneHome(
+        host: SchedulerHost,
+        heartbeat: PeerMessage.Heartbeat,
+    ) {
+        for (shard in heartbeat.homeOf) {
+            val anchors = host.state.catalog.shards[shard]?.spec?.anchors ?: continue
+            val holders = anchors.mapNotNull { world.upstream(it).validHolder }.groupingBy { it }.eachCount()
+            val other = holders.entries.firstOrNull { it.key != host.id && it.value > anchors.size / 2 } ?: continue
+            report(Point.TWO_HOMES, "${host.id} says it is home of $shard, but ${other.key} is")
+        }
+    }
+
+    private fun report(
+        point: Point,
+        detail: String,
+    ) {
+        found.add(Violation(point, world.timeline.nowMicros, detail))
+    }
+}
+
+/** Adds a violation. */
+internal typealias Report = (Point, String) -> Unit
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Declarations.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Declarations.kt
@@ -1,6 +1,7 @@
 package org.anvilbarrow.kernel.proof
 
 import org.anvilbarrow.protocol.log.CatalogPayload.ResourceChange
+import org.anvilbarrow.protocol.model.RegionSpec
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.ShardId
 import org.anvilbarrow.protocol.model.ShardSpec
@@ -36,12 +37,16 @@
             id to ShardSpec(region(shard, plan), upstreams.filterValues { it.shard == id }.keys.take(MIN_SHARD))
         }
 
+    private val regions: Map<String, RegionSpec> =
+        shards.entries.groupBy({ it.value.region }, { it.key }).mapValues { RegionSpec(it.value) }
+
     val workloads: Map<String, WorkloadSpec> =
         shards.values.map { it.region }.distinct().flatMap(::workloadsOf).toMap()
 
     /** Creates everything, the team first. */
     val changes: List<ResourceChange> =
         listOf(ResourceChange("create-team", "team", "default", TeamSpec())) +
+            regions.map { (name, spec) -> ResourceChange("create-$name", "region", name, spec) } +
             shards.map { (id, spec) -> ResourceChange("create-$id", "shard", id.value, spec) } +
             upstreams.map { (id, spec) -> ResourceChange("create-$id", "upstream", id.value, spec) } +
             workloads.map { (name, spec) -> ResourceChange("create-$name", "workload", name, spec) }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/EffectRunner.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/EffectRunner.kt
@@ -135,7 +135,7 @@
             val node = grant.upstream.value
             network.send(host.name, node) { world.upstream(grant.upstream).stop(task) }
             timeline.after(random.nextLong(MAX_CLOSE_MICROS)) {
-                host.run(exchange.process) { finish(exchange, grant, TaskResult.LOST, streams = false) }
+                host.run(exchange.process) { finish(exchange, grant, TaskResult.STOPPED, streams = false) }
             }
         }
     }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FakeLog.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FakeLog.kt
@@ -64,6 +64,7 @@
         val spec = change.spec
         return when {
             change.expectedVersion != null && change.expectedVersion != version -> objects
+            change.kind == "region" && key in objects -> objects
             spec == null -> objects - key
             else -> objects + (key to (spec to offset))
         }
@@ -76,5 +77,6 @@
         workloads.forEach { (name, it) -> put("workload" to name, it.spec to it.version) }
         upstreams.forEach { (id, it) -> put("upstream" to id.value, it.spec to it.version) }
         shards.forEach { (id, it) -> put("shard" to id.value, it.spec to it.version) }
+        regions.forEach { (name, it) -> put("region" to name, it.spec to it.version) }
         teams.forEach { (name, it) -> put("team" to name, it.spec to it.version) }
     }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FakeUpstream.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FakeUpstream.kt
@@ -104,6 +104,7 @@
         alive = true
         known.clear()
         holder = null
+        epoch = 0
         grantsFromMillis = clock.millis() + leaseTtlMillis
     }
 
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FaultInjector.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FaultInjector.kt
@@ -3,6 +3,7 @@
 import org.anvilbarrow.kernel.core.Event
 import org.anvilbarrow.protocol.log.CatalogPayload.ResourceChange
 import org.anvilbarrow.protocol.model.UpstreamId
+import org.anvilbarrow.protocol.model.WorkloadSpec
 import org.anvilbarrow.protocol.peer.PeerMessage
 
 /** Puts the faults of a plan into a [World] and heals them. */
@@ -101,7 +102,7 @@
     private fun operatorsRace() {
         val name = world.declared.workloads.keys.first()
         val (spec, version) = world.reference.at(world.log.endOffset)?.get("workload" to name) ?: return
-        val workload = spec as? org.anvilbarrow.protocol.model.WorkloadSpec ?: return
+        val workload = spec as? WorkloadSpec ?: return
         val round = ++changes
         val first = ResourceChange("race-$round-a", "workload", name, workload.copy(expectedRunMillis = 300), version)
         val second = ResourceChange("race-$round-b", "workload", name, workload.copy(expectedRunMillis = 100), version)
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/SchedulerHost.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/SchedulerHost.kt
@@ -11,6 +11,8 @@
 import org.anvilbarrow.protocol.model.WorkRequest
 import org.anvilbarrow.protocol.peer.Grant
 import org.anvilbarrow.protocol.peer.TaskResult
+import java.time.Instant
+import java.time.temporal.ChronoUnit
 
 /** How an exchange ended for its caller. */
 internal enum class Ending { ANSWERED, BROKEN_OFF, REFUSED, UNKNOWN, CALLER_GONE, PROCESS_DIED }
@@ -84,7 +86,7 @@
         alive = true
         stopping = false
         steadySinceMicros = world.timeline.nowMicros
-        lastExchange = 0
+        lastExchange = ChronoUnit.MICROS.between(Instant.EPOCH, clock.instant())
         exchanges.clear()
         val identity = SchedulerIdentity(id, process, region, "$region-1")
         val fresh = kernel().start(identity, world.hosts.map { it.id } - id, clock.instant())
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/World.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/World.kt
@@ -52,8 +52,7 @@
 
     /** Runs the plan until its end or the first violation. */
     fun run(): List<Violation> {
-        declared.changes.forEach(log::append)
-        reference.follow(log)
+        declared.changes.forEach(::append)
         hosts.forEach { host -> timeline.after(millis(random.nextLong(MAX_START_DELAY_MILLIS))) { host.start() } }
         callers.schedule()
         plan.faults.forEach { timeline.after(millis(LOAD_START_MILLIS + it.atMillis)) { faults.inject(it.fault) } }
