--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Callers.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Callers.kt
@@ -46,7 +46,9 @@
 
     private fun sendCopies() {
         val copied = random.nextInt(PERCENT) < world.plan.copiedPercent
-        val names = world.declared.workloads.keys.toList()
+        val names =
+            world.declared.workloads.keys
+                .toList()
         val deadline = random.nextLong(MIN_DEADLINE_MILLIS, MAX_DEADLINE_MILLIS)
         val request = request(names[random.nextInt(names.size)], issueSkewMillis(), deadline, first = !copied)
         send(request, world.hosts[random.nextInt(world.hosts.size)])
@@ -100,7 +102,10 @@
     }
 
     private fun probe() {
-        val regions = world.declared.shards.values.map { it.region }.distinct()
+        val regions =
+            world.declared.shards.values
+                .map { it.region }
+                .distinct()
         for (host in world.hosts) {
             for (region in regions) {
                 val request = request("once-$region", 0, PROBE_DEADLINE_MILLIS, first = true)
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/CatalogChecks.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/CatalogChecks.kt
@@ -40,7 +40,12 @@
         if (new.current && new.appliedOffset < needed) {
             report(Point.P8_CATALOG, "${host.id} is current at ${new.appliedOffset}, before $needed")
         }
-        if (!new.current) effects.firstOrNull(::serves)?.let { report(Point.P8_CATALOG, "${host.id} is not current: $it") }
+        if (!new.current) {
+            effects
+                .firstOrNull(
+                    ::serves,
+                )?.let { report(Point.P8_CATALOG, "${host.id} is not current: $it") }
+        }
         if (event is Event.Tick) inForce(host)
     }
 
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Checker.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Checker.kt
@@ -77,7 +77,10 @@
         heartbeat: PeerMessage.Heartbeat,
     ) {
         for (shard in heartbeat.homeOf) {
-            val anchors = host.state.catalog.shards[shard]?.spec?.anchors ?: continue
+            val anchors =
+                host.state.catalog.shards[shard]
+                    ?.spec
+                    ?.anchors ?: continue
             val holders = anchors.mapNotNull { world.upstream(it).validHolder }.groupingBy { it }.eachCount()
             val other = holders.entries.firstOrNull { it.key != host.id && it.value > anchors.size / 2 } ?: continue
             report(Point.TWO_HOMES, "${host.id} says it is home of $shard, but ${other.key} is")
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Declarations.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Declarations.kt
@@ -41,7 +41,11 @@
         shards.entries.groupBy({ it.value.region }, { it.key }).mapValues { RegionSpec(it.value) }
 
     val workloads: Map<String, WorkloadSpec> =
-        shards.values.map { it.region }.distinct().flatMap(::workloadsOf).toMap()
+        shards.values
+            .map { it.region }
+            .distinct()
+            .flatMap(::workloadsOf)
+            .toMap()
 
     /** Creates everything, the team first. */
     val changes: List<ResourceChange> =
--- /dev/null
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FailureTableTest.kt
@@ -0,0 +1,164 @@
+package org.anvilbarrow.kernel.proof
+
+import org.anvilbarrow.kernel.core.Effect
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isGreaterThan
+
+/** Guards P1 to P8 and the answers of section 10 of the design page under each failure of section 2.6. */
+internal class FailureTableTest {
+    private class Owner(
+        val state: String,
+        val fault: ((Int) -> Fault)?,
+        /** True if nothing may stop while the log fails. */
+        val goesOn: Boolean = false,
+    )
+
+    private val logs =
+        mapOf(
+            "up" to emptyList(),
+            "slow" to listOf(TimedFault(0, Fault.LogSlow(9_000))),
+            "down" to listOf(TimedFault(0, Fault.LogDown(9_000))),
+            "losing append answers" to (0L..4L).map { TimedFault(it * 1_500, Fault.OperatorsRace) },
+        )
+
+    private val owners =
+        listOf(
+            Owner("healthy", null, goesOn = true),
+            Owner("dead", { Fault.SchedulerDies(it, 6_000) }),
+            Owner("paused past its lease", { Fault.SchedulerPauses(it, 5_000) }),
+            Owner("cut off from the log only", { Fault.LogCut(it, 7_000) }, goesOn = true),
+            Owner("cut off from its peers only", { Fault.AllPeersCut(it, 7_000) }),
+            Owner("cut off from its upstreams only", { Fault.AllUpstreamsCut(it, 7_000) }),
+        )
+
+    @TestFactory
+    fun `log by owner`(): List<DynamicTest> =
+        logs.flatMap { (log, logFaults) ->
+            owners.map { owner ->
+                dynamicTest("log $log, owner ${owner.state}") {
+                    for (scheduler in 0 until SCHEDULERS) {
+                        val fault = owner.fault?.let { listOf(TimedFault(1_000, it(scheduler))) }.orEmpty()
+                        val world = World(plan(scheduler + 1L, logFaults + fault))
+                        expectNoViolation(world)
+                        if (owner.goesOn) expectThat(answeredPercent(world)).isGreaterThan(MIN_ANSWERED_PERCENT)
+                    }
+                }
+            }
+        }
+
+    @TestFactory
+    fun `failures alone, twice and together`(): List<DynamicTest> {
+        val failures: Map<String, List<TimedFault>> =
+            mapOf(
+                "nothing fails" to emptyList(),
+                "a scheduler dies" to listOf(at(1_000, Fault.SchedulerDies(0, 9_000))),
+                "a scheduler dies twice" to
+                    listOf(at(500, Fault.SchedulerDies(1, 400)), at(2_500, Fault.SchedulerDies(1, 400))),
+                "two schedulers die together" to
+                    listOf(at(1_000, Fault.SchedulerDies(0, 3_500)), at(1_000, Fault.SchedulerDies(1, 3_500))),
+                "all schedulers die together" to List(SCHEDULERS) { at(1_000, Fault.SchedulerDies(it, 1_000)) },
+                "all schedulers pause together" to List(SCHEDULERS) { at(1_000, Fault.SchedulerPauses(it, 4_000)) },
+                "a scheduler starts while the log is down" to
+                    listOf(at(500, Fault.LogDown(9_000)), at(1_000, Fault.SchedulerDies(2, 500))),
+                "an upstream dies" to listOf(at(1_000, Fault.UpstreamDies(0, 9_000))),
+                "most anchors of a shard die together" to
+                    listOf(at(1_000, Fault.UpstreamDies(0, 2_000)), at(1_000, Fault.UpstreamDies(2, 2_000))),
+                "an upstream dies while its owner is paused" to
+                    listOf(at(1_000, Fault.SchedulerPauses(0, 5_000)), at(1_200, Fault.UpstreamDies(0, 1_000))),
+                "upstreams fail everything" to List(2) { at(500, Fault.UpstreamFails(it, 9_000)) },
+                "cancellations arrive in waves" to List(8) { at(it * 700L, Fault.CancellationWave) },
+                "operators race" to List(5) { at(it * 500L, Fault.OperatorsRace) },
+                "connections go silent one way" to
+                    listOf(
+                        at(500, Fault.UpstreamCut(0, 0, Direction.BACKWARD, 9_000)),
+                        at(700, Fault.PeersCut(1, 2, Direction.FORWARD, 9_000)),
+                    ),
+                "a region is cut off" to
+                    listOf(
+                        at(500, Fault.AllPeersCut(0, 8_000)),
+                        at(500, Fault.UpstreamCut(0, 1, Direction.BOTH, 8_000)),
+                    ),
+                "a planned stop while another scheduler dies" to
+                    listOf(at(1_000, Fault.PlannedStop(0, 500)), at(1_100, Fault.SchedulerDies(1, 2_000))),
+            ) + LeavingSign.entries.associate { "an upstream leaves, seen by $it" to leaves(it) }
+        return failures.map { (name, faults) ->
+            dynamicTest(name) {
+                NetworkQuality.entries.forEach { quality ->
+                    expectNoViolation(World(plan(SEED, faults).copy(quality = quality)))
+                }
+            }
+        }
+    }
+
+    /** Guards against instructions of a former owner that were queued before it paused. */
+    @Test
+    fun `instructions that were held up by a pause past the lease are harmless`() {
+        for (seed in SEED until SEED + HELD_UP_RUNS) {
+            val world = World(plan(seed, emptyList()).copy(requestIntervalMillis = 20))
+            val paused = HashSet<SchedulerHost>()
+            world.onEffect = { host, effect ->
+                val loaded = world.timeline.nowMicros > millis(World.LOAD_START_MILLIS + 1_000)
+                if (loaded && effect is Effect.Execute && paused.add(host)) host.pause(millis(PAST_LEASE_MILLIS))
+            }
+            expectNoViolation(world)
+        }
+    }
+
+    /** Guards P7: work that runs when a stop begins gets its answer, at the stopping scheduler and elsewhere. */
+    @Test
+    fun `planned stops of all schedulers one after the other cut off no exchange`() {
+        val stops = List(SCHEDULERS) { at(it * 4_000L, Fault.PlannedStop(it, 500)) }
+        for (seed in SEED until SEED + STOP_RUNS) {
+            val world = World(plan(seed, stops))
+            expectNoViolation(world)
+            val cutOff =
+                world.callers.sentBetween(0, World.LOAD_MILLIS).filter {
+                    it.results.isNotEmpty() && it.endedInTime && it.ending == Ending.UNKNOWN
+                }
+            expectThat(cutOff).isEmpty()
+        }
+    }
+
+    /** Guards against jobs that can never run staying queued or being called unknown. */
+    @Test
+    fun `jobs that can never run are refused`() {
+        val world = World(plan(SEED, emptyList()))
+        expectNoViolation(world)
+        val huge = world.callers.sentBetween(0, World.LOAD_MILLIS).filter { it.request.workload.startsWith("huge") }
+        expectThat(huge.filter { it.ending == Ending.ANSWERED || it.ending == null }).isEmpty()
+        expectThat(huge.filter { it.ending == Ending.REFUSED }.size).isGreaterThan(huge.size / 2)
+    }
+
+    private fun plan(
+        seed: Long,
+        faults: List<TimedFault>,
+    ) = Plan(seed, schedulers = SCHEDULERS, faults = faults, copiedPercent = if (faults.isEmpty()) 25 else 5)
+
+    private fun at(
+        millis: Long,
+        fault: Fault,
+    ) = TimedFault(millis, fault)
+
+    private fun leaves(sign: LeavingSign) = listOf(at(1_000, Fault.UpstreamLeaves(0, sign)))
+
+    private fun answeredPercent(world: World): Int {
+        val sent = world.callers.sentBetween(2_000, 7_000).filterNot { it.request.workload.startsWith("huge") }
+        return sent.count { it.ending == Ending.ANSWERED } * 100 / sent.size
+    }
+
+    private companion object {
+        const val SEED = 20_260_105L
+        const val SCHEDULERS = 3
+        const val HELD_UP_RUNS = 5
+        const val STOP_RUNS = 3
+        const val PAST_LEASE_MILLIS = 4_000L
+
+        /** The rest are late copies, wrong clocks, cancellations and runs past their deadline. */
+        const val MIN_ANSWERED_PERCENT = 60
+    }
+}
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FakeLog.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FakeLog.kt
@@ -19,12 +19,12 @@
         records.add(LogRecord(endOffset, payload))
     }
 
-    fun append(payload: CatalogPayload) =
-        append(strictJson.encodeToString(CatalogPayload.serializer(), payload))
+    fun append(payload: CatalogPayload) = append(strictJson.encodeToString(CatalogPayload.serializer(), payload))
 
     /** Returns a page of at most [PAGE] records from [offset] on. */
     fun read(offset: Long): List<LogRecord> =
-        records.subList(offset.toInt().coerceAtMost(records.size), (offset.toInt() + PAGE).coerceAtMost(records.size))
+        records
+            .subList(offset.toInt().coerceAtMost(records.size), (offset.toInt() + PAGE).coerceAtMost(records.size))
             .toList()
 
     private companion object {
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FaultInjector.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FaultInjector.kt
@@ -100,7 +100,9 @@
 
     /** Of two changes against one version the first takes effect; the copy of the first is ignored. */
     private fun operatorsRace() {
-        val name = world.declared.workloads.keys.first()
+        val name =
+            world.declared.workloads.keys
+                .first()
         val (spec, version) = world.reference.at(world.log.endOffset)?.get("workload" to name) ?: return
         val workload = spec as? WorkloadSpec ?: return
         val round = ++changes
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/OutcomeChecks.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/OutcomeChecks.kt
@@ -60,7 +60,11 @@
             return null
         }
         val brokenOff = exchange.ending == Ending.BROKEN_OFF
-        if (exchange.decided && !brokenOff) report(Point.P3_OUTCOME, "$exchange gets a second outcome ${effect.outcome}")
+        if (exchange.decided &&
+            !brokenOff
+        ) {
+            report(Point.P3_OUTCOME, "$exchange gets a second outcome ${effect.outcome}")
+        }
         exchange.decided = true
         if (host.stopping && effect.outcome is Outcome.Unknown) cutOff(exchange, "is answered ${effect.outcome}")
         return exchange
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/SchedulerHost.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/SchedulerHost.kt
@@ -32,6 +32,9 @@
     /** True once the kernel has given its final outcome or was told that the caller has the answer. */
     var decided = false
     var callerGone = false
+
+    /** True if the outcome came before the deadline. */
+    var endedInTime = false
     val grants = HashMap<TaskId, Grant>()
 
     /** Result of every task that was started for this exchange, null while it runs. */
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Timeline.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Timeline.kt
@@ -58,8 +58,7 @@
     private val drift: Double,
     private val boundMicros: Long? = null,
 ) : InstantSource {
-    override fun instant(): Instant =
-        START.plus(timeline.nowMicros + errorMicros(), ChronoUnit.MICROS)
+    override fun instant(): Instant = START.plus(timeline.nowMicros + errorMicros(), ChronoUnit.MICROS)
 
     override fun millis(): Long = instant().toEpochMilli()
 
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/World.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/World.kt
@@ -15,6 +15,8 @@
 internal class World(
     val plan: Plan,
     val mutation: Mutation = Mutation(),
+    /** Ends the run; later violations often follow from the first one. */
+    private val endsRun: (Violation) -> Boolean = { true },
 ) {
     val timeline = Timeline()
     val random = SplittableRandom(plan.seed)
@@ -56,7 +58,10 @@
         hosts.forEach { host -> timeline.after(millis(random.nextLong(MAX_START_DELAY_MILLIS))) { host.start() } }
         callers.schedule()
         plan.faults.forEach { timeline.after(millis(LOAD_START_MILLIS + it.atMillis)) { faults.inject(it.fault) } }
-        timeline.runUntil(millis(END_MILLIS)) { checker.violations.isNotEmpty() }
+        timeline.runUntil(millis(END_MILLIS)) {
+            checker.violations.any(endsRun) ||
+                checker.violations.size > MAX_VIOLATIONS
+        }
         return checker.violations
     }
 
@@ -93,6 +98,7 @@
     fun exchangeOpened(exchange: Exchange) = checker.opened(exchange)
 
     fun ended(exchange: Exchange) {
+        exchange.endedInTime = exchange.host.clock.millis() < exchange.request.deadlineEpochMillis
         trace.add("call", "$exchange gets ${exchange.ending}")
         callers.ended(exchange)
     }
@@ -183,6 +189,7 @@
 
         /** Short, so that runs outlast it. */
         private const val ID_RETENTION_SECONDS = 12L
+        private const val MAX_VIOLATIONS = 200
         private const val MAX_START_DELAY_MILLIS = 300L
         private const val LOG_DELAY_MILLIS = 20L
         private const val LOG_POLL_MILLIS = 200L
