--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/CatalogChecks.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/CatalogChecks.kt
@@ -14,6 +14,7 @@
 ) {
     private val appendedAtMicros = ArrayList<Long>()
     private val endAtStart = HashMap<Pair<SchedulerHost, Long>, Long>()
+    private val appliedAtMicros = HashMap<Pair<SchedulerHost, Long>, HashMap<Long, Long>>()
     private val logSteadySince = HashMap<SchedulerHost, Long>()
 
     /** Notes when the latest records were appended. */
@@ -40,11 +41,10 @@
         if (new.current && new.appliedOffset < needed) {
             report(Point.P8_CATALOG, "${host.id} is current at ${new.appliedOffset}, before $needed")
         }
-        if (!new.current) {
-            effects
-                .firstOrNull(
-                    ::serves,
-                )?.let { report(Point.P8_CATALOG, "${host.id} is not current: $it") }
+        val served = effects.filter { !new.current && serves(it) }
+        if (served.isNotEmpty()) report(Point.P8_CATALOG, "${host.id} is not current: $served")
+        if (new.appliedOffset != old.appliedOffset) {
+            appliedAtMicros.getOrPut(host to host.process) { HashMap() }[new.appliedOffset] = world.timeline.nowMicros
         }
         if (event is Event.Tick) inForce(host)
     }
@@ -59,20 +59,39 @@
             else -> false
         }
 
-    /** A scheduler that could read the log for 10 s has every record that is older. */
+    /** A scheduler that could read the log or hear a peer for 10 s has every record that is older there. */
     private fun inForce(host: SchedulerHost) {
         val now = world.timeline.nowMicros
         val reads = world.logAnswers(host) && !world.log.slow
-        val since = if (reads) logSteadySince.getOrPut(host) { now } else null
-        if (since == null) logSteadySince.remove(host)
-        val steadySince = maxOf(since ?: now, host.steadySinceMicros)
-        if (now - steadySince <= LIMIT_MICROS) return
-        val due = appendedAtMicros.indexOfLast { now - it > LIMIT_MICROS } + 1L
+        val since = if (reads) logSteadySince.getOrPut(host) { now } else now
+        if (!reads) logSteadySince.remove(host)
+        val fromLog =
+            if (now - maxOf(since, host.steadySinceMicros) <= LIMIT_MICROS) {
+                0
+            } else {
+                appendedAtMicros.indexOfLast { now - it > LIMIT_MICROS } + 1L
+            }
+        val due = maxOf(fromLog, world.hosts.maxOf { if (it === host) 0 else fromPeer(host, it, now - LIMIT_MICROS) })
         if (host.state.catalog.appliedOffset < due) {
             report(Point.P8_CATALOG, "${host.id} has applied ${host.state.catalog.appliedOffset}, but $due is 10 s old")
         }
     }
 
+    /** Returns the offset that [peer] had applied at [sinceMicros], if nothing kept it from [host] since. */
+    private fun fromPeer(
+        host: SchedulerHost,
+        peer: SchedulerHost,
+        sinceMicros: Long,
+    ): Long {
+        val steady = listOf(host, peer).all { it.alive && !it.frozen && it.steadySinceMicros < sinceMicros }
+        val heard =
+            world.network.undisturbedSince(peer.name, host.name, sinceMicros) &&
+                world.network.undisturbedSince(host.name, peer.name, sinceMicros)
+        if (!steady || !heard) return 0
+        val applied = appliedAtMicros[peer to peer.process].orEmpty()
+        return applied.filterValues { it < sinceMicros }.keys.maxOrNull() ?: 0
+    }
+
     private companion object {
         const val LIMIT_MICROS = 10_000_000L
     }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Checker.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Checker.kt
@@ -80,10 +80,12 @@
             val anchors =
                 host.state.catalog.shards[shard]
                     ?.spec
-                    ?.anchors ?: continue
+                    ?.anchors
+                    .orEmpty()
             val holders = anchors.mapNotNull { world.upstream(it).validHolder }.groupingBy { it }.eachCount()
-            val other = holders.entries.firstOrNull { it.key != host.id && it.value > anchors.size / 2 } ?: continue
-            report(Point.TWO_HOMES, "${host.id} says it is home of $shard, but ${other.key} is")
+            holders.filter { it.key != host.id && it.value > anchors.size / 2 }.keys.forEach {
+                report(Point.TWO_HOMES, "${host.id} says it is home of $shard, but $it is")
+            }
         }
     }
 
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FailureTableTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FailureTableTest.kt
@@ -73,6 +73,8 @@
                 "upstreams fail everything" to List(2) { at(500, Fault.UpstreamFails(it, 9_000)) },
                 "cancellations arrive in waves" to List(8) { at(it * 700L, Fault.CancellationWave) },
                 "operators race" to List(5) { at(it * 500L, Fault.OperatorsRace) },
+                "a change is made while a scheduler cannot read the log" to
+                    listOf(at(0, Fault.LogCut(1, 16_000)), at(1_000, Fault.OperatorsRace)),
                 "connections go silent one way" to
                     listOf(
                         at(500, Fault.UpstreamCut(0, 0, Direction.BACKWARD, 9_000)),
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FakeUpstream.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FakeUpstream.kt
@@ -80,7 +80,8 @@
         runMicros: Long,
         onEnd: (TaskResult) -> Unit,
     ): Boolean {
-        if (!alive || (rules.checksStarts && !permits(grant)) || !known.add(grant.task)) return false
+        val permitted = alive && (!rules.checksStarts || permits(grant))
+        if (!permitted || !known.add(grant.task)) return false
         running[grant.task] = TaskRun(grant, onEnd)
         val startedIn = incarnation
         timeline.after(runMicros) {
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/LeavingChecks.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/LeavingChecks.kt
@@ -46,7 +46,7 @@
         val after = (world.timeline.nowMicros - late.atMicros) / MICROS_PER_MILLI
         report(
             Point.P6_LEAVING,
-            "${grant.task} of owner ${owner.id} starts on ${grant.upstream} $after ms after ${late.host.id} saw it leave",
+            "${grant.task} of ${owner.id} starts on ${grant.upstream} $after ms after ${late.host.id} saw it leave",
         )
     }
 
