--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Timeline.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Timeline.kt
@@ -43,6 +43,7 @@
             nowMicros = due.atMicros
             due.action()
         }
+        if (!stop()) nowMicros = maxOf(nowMicros, endMicros)
     }
 }
 
