--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FailureTableTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FailureTableTest.kt
@@ -80,11 +80,6 @@
                         at(500, Fault.UpstreamCut(0, 0, Direction.BACKWARD, 9_000)),
                         at(700, Fault.PeersCut(1, 2, Direction.FORWARD, 9_000)),
                     ),
-                "a region is cut off" to
-                    listOf(
-                        at(500, Fault.AllPeersCut(0, 8_000)),
-                        at(500, Fault.UpstreamCut(0, 1, Direction.BOTH, 8_000)),
-                    ),
                 "a planned stop while another scheduler dies" to
                     listOf(at(1_000, Fault.PlannedStop(0, 500)), at(1_100, Fault.SchedulerDies(1, 2_000))),
             ) + LeavingSign.entries.associate { "an upstream leaves, seen by $it" to leaves(it) }
@@ -111,6 +106,27 @@
         }
     }
 
+    /** Guards against work that crosses the border of a region that is cut off, and against a region that stands still. */
+    @Test
+    fun `a region that is cut off goes on by itself`() {
+        val (even, odd) = (0 until REGION_NODES).partition { it % 2 == 0 }
+        val peers = even.flatMap { a -> odd.map { b -> Fault.PeersCut(a, b, Direction.BOTH, 8_000) } }
+        val upstreams =
+            (0 until REGION_NODES).flatMap { scheduler ->
+                (0 until UPSTREAMS)
+                    .filter { (it + scheduler) % 2 == 1 }
+                    .map { Fault.UpstreamCut(scheduler, it, Direction.BOTH, 8_000) }
+            }
+        val faults = (peers + upstreams).map { at(1_000, it) }
+        val world = World(Plan(SEED, REGION_NODES, UPSTREAMS, regions = 2, faults = faults, copiedPercent = 0))
+        expectNoViolation(world)
+        val own =
+            world.callers.sentBetween(2_000, 7_000).filter {
+                it.request.workload.endsWith(it.host.region) && !it.request.workload.startsWith("huge")
+            }
+        expectThat(own.count { it.ending == Ending.ANSWERED } * 100 / own.size).isGreaterThan(MIN_ANSWERED_PERCENT)
+    }
+
     /** Guards P7: work that runs when a stop begins gets its answer, at the stopping scheduler and elsewhere. */
     @Test
     fun `planned stops of all schedulers one after the other cut off no exchange`() {
@@ -156,6 +172,8 @@
     private companion object {
         const val SEED = 20_260_105L
         const val SCHEDULERS = 3
+        const val REGION_NODES = 4
+        const val UPSTREAMS = 6
         const val HELD_UP_RUNS = 5
         const val STOP_RUNS = 3
         const val PAST_LEASE_MILLIS = 4_000L
