--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FailureTableTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FailureTableTest.kt
@@ -106,7 +106,7 @@
         }
     }
 
-    /** Guards against work that crosses the border of a region that is cut off, and against a region that stands still. */
+    /** Guards against a region that stands still while it is cut off. */
     @Test
     fun `a region that is cut off goes on by itself`() {
         val (even, odd) = (0 until REGION_NODES).partition { it % 2 == 0 }
