--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Violation.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Violation.kt
@@ -44,12 +44,14 @@
         lines.addLast(Triple(timeline.nowMicros, who, what))
     }
 
-    /** Returns the lines that mention one of [words], or all of them. */
-    fun render(words: List<String> = emptyList()): String =
-        lines
+    /** Returns the lines that mention one of [words]. */
+    fun render(words: List<String>): String {
+        val wanted = Regex(words.joinToString("|", "\\b(", ")\\b"))
+        return lines
             .map { (at, who, what) -> "%9.3f ms %-4s %s".format(at / MICROS_PER_MILLI.toDouble(), who, what) }
-            .filter { line -> words.isEmpty() || words.any { it in line } }
+            .filter { wanted.containsMatchIn(it) }
             .joinToString("\n")
+    }
 
     private companion object {
         const val MAX_LINES = 20_000
