Let a waiting request run in another region when the wait is worth the bytes

Cause: a request waited in its region however long that took, also with a failure domain of it down. Change: an urgent request may cross after 200 ms, one of normal urgency after 2 s, both 1 s later for each mebibyte of body; deferrable work and gangs never cross.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/KernelLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/KernelLimits.kt
@@ -33,6 +33,12 @@
     val schedulerClockBound: Duration = Duration.ofMillis(500),
     /** Interval after which an unanswered `Place` or `Reserve` is sent again or given up. */
     val peerReply: Duration = Duration.ofSeconds(1),
+    /** How long an urgent request waits in its own region before it may run in another. */
+    val urgentCrossing: Duration = Duration.ofMillis(200),
+    /** The same for a request of normal urgency; deferrable ones never cross. */
+    val normalCrossing: Duration = Duration.ofSeconds(2),
+    /** Further wait for each mebibyte of the body, which is paid for when it crosses regions. */
+    val crossingPerMebibyte: Duration = Duration.ofSeconds(1),
     /** Most requests queued at one scheduler as home. */
     val maxQueued: Int = 20_000,
     /** How often the tasks of one request are started at most. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/Placer.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/Placer.kt
@@ -28,7 +28,7 @@
         val local = localChoice(turn, request, spec)
         val missing = spec.tasks - local.size
         val owners = peersFor(turn, spec, missing)
-        if (owners.size < missing) return false
+        if (owners.size < missing) return crossRegion(turn, request, spec)
         val grants =
             local.map { Grants.grant(turn, turn.newTaskId(), request.request.workload, it, spec.resources) }
         grants.forEach { grant -> turn.updateHome { copy(tasks = tasks.put(grant.task, request.key)) } }
@@ -36,6 +36,17 @@
         return true
     }
 
+    /** Asks an owner in another region, if the request has waited long enough to be worth the paid bytes. */
+    private fun crossRegion(
+        turn: Turn,
+        request: HomeRequest,
+        spec: WorkloadSpec,
+    ): Boolean {
+        val owner = RegionCrossing.ownerFor(turn, request, spec) ?: return false
+        reserve(turn, request, spec, emptyList(), listOf(owner))
+        return true
+    }
+
     fun onReserved(
         turn: Turn,
         grant: Grant,
@@ -75,8 +86,7 @@
     ) {
         val phase = request.phase as? HomeRequest.Phase.Reserving ?: return
         HomeRequests.cancelReservations(turn, phase)
-        val isGang = phase.asked.size + phase.grants.size > 1
-        val pause = if (isGang) gangBackoff(turn, request) else Duration.ZERO
+        val pause = if (phase.asked.size + phase.grants.size > 1) gangBackoff(turn, request) else Duration.ZERO
         val queued = request.copy(phase = HomeRequest.Phase.Queued, notBefore = turn.now + pause)
         turn.updateHome { copy(requests = requests.put(request.key, queued)) }
     }
@@ -140,8 +150,9 @@
             )
         }
         asked.forEach { (task, owner) ->
+            val region = turn.state.membership.peers.getValue(owner).heartbeat.region
             notePeerUse(turn, owner, spec)
-            turn.send(owner, PeerMessage.Reserve(task, request.request.workload, spec.resources))
+            turn.send(owner, PeerMessage.Reserve(task, request.request.workload, region, spec.resources))
         }
     }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ledger/ReservationChoice.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ledger/ReservationChoice.kt
@@ -15,7 +15,7 @@
         val spec =
             turn.state.catalog.workloads[reserve.workload]
                 ?.spec ?: return null
-        val candidates = turn.candidatesIn(spec.region, reserve.workload).filter { it.upstream !in reserve.avoid }
+        val candidates = turn.candidatesIn(reserve.region, reserve.workload).filter { it.upstream !in reserve.avoid }
         return placementPolicyOf(spec).choose(reserve.resources, candidates)
     }
 }
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/peer/PeerMessage.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/peer/PeerMessage.kt
@@ -69,6 +69,8 @@
     public data class Reserve(
         val task: TaskId,
         val workload: String,
+        /** Region whose upstreams are asked for; not the workload's own if the request crosses regions. */
+        val region: String,
         val resources: Resources,
         /** Upstreams that the home asks the owner to avoid, as earlier tasks of the request failed on them. */
         val avoid: List<UpstreamId> = emptyList(),
