--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/Catalog.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/Catalog.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.anvilbarrow.protocol.log.SnapshotChange
 import org.anvilbarrow.protocol.model.ShardId
 import org.anvilbarrow.protocol.model.ShardSpec
 import org.anvilbarrow.protocol.model.TeamSpec
@@ -25,4 +26,15 @@
     val appliedOffset: Long = 0,
     /** True once every record up to a known end of the log was applied; a scheduler serves nothing before. */
     val current: Boolean = false,
-)
+    /** The last changes by their id, in offset order, so that a repeated change is ignored by every reader alike. */
+    val recentChanges: PersistentMap<String, SnapshotChange> = persistentMapOf(),
+    /** Records that were skipped because they could not be decoded. */
+    val skippedRecords: Long = 0,
+    /** Snapshots seen on the log. */
+    val snapshots: SnapshotProgress = SnapshotProgress(),
+    /** Set while the reader waits for a snapshot because older records are gone; the objects are those from before. */
+    val restoring: SnapshotRestore? = null,
+) {
+    /** Offset of the record to read next. */
+    public val nextOffset: Long get() = restoring?.nextOffset ?: appliedOffset
+}
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/log/ResourceChange.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/log/ResourceChange.kt
@@ -33,7 +33,8 @@
         val part: Int,
         val parts: Int,
         val objects: List<SnapshotObject>,
-        val recentChangeIds: List<String>,
+        /** Remembered changes, in offset order across the parts. */
+        val recentChanges: List<SnapshotChange>,
     ) : CatalogPayload
 }
 
@@ -45,3 +46,13 @@
     val version: Long,
     val spec: ResourceSpec,
 )
+
+/** A change that readers remember, so that a second record with the same id is ignored. */
+@Serializable
+public data class SnapshotChange(
+    val changeId: String,
+    /** Offset of the first record with this id. */
+    val offset: Long,
+    /** True if that record took effect; its offset is then the version of the object. */
+    val accepted: Boolean,
+)
