--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/CatalogObjects.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/CatalogObjects.kt
@@ -1,6 +1,7 @@
 package org.anvilbarrow.kernel.catalog
 
 import org.anvilbarrow.protocol.log.SnapshotObject
+import org.anvilbarrow.protocol.model.RegionSpec
 import org.anvilbarrow.protocol.model.ResourceSpec
 import org.anvilbarrow.protocol.model.ShardId
 import org.anvilbarrow.protocol.model.ShardSpec
@@ -19,6 +20,7 @@
         ResourceKind.UPSTREAM -> upstreams[UpstreamId(name)]
         ResourceKind.SHARD -> shards[ShardId(name)]
         ResourceKind.TEAM -> teams[name]
+        ResourceKind.REGION -> regions[name]
     }
 
 /** Returns the objects of [kind], ordered by name. */
@@ -28,6 +30,7 @@
         ResourceKind.UPSTREAM -> upstreams.map { (id, versioned) -> kind.named(id.value, versioned) }
         ResourceKind.SHARD -> shards.map { (id, versioned) -> kind.named(id.value, versioned) }
         ResourceKind.TEAM -> teams.map { (name, versioned) -> kind.named(name, versioned) }
+        ResourceKind.REGION -> regions.map { (name, versioned) -> kind.named(name, versioned) }
     }.sortedBy { it.name }
 
 private fun ResourceKind.named(
@@ -46,6 +49,7 @@
         is UpstreamSpec -> copy(upstreams = upstreams.put(UpstreamId(name), Versioned(spec, version)))
         is ShardSpec -> copy(shards = shards.put(ShardId(name), Versioned(spec, version)))
         is TeamSpec -> copy(teams = teams.put(name, Versioned(spec, version)))
+        is RegionSpec -> copy(regions = regions.put(name, Versioned(spec, version)))
     }
 
 /** Returns the catalog without the object of [kind] called [name]. */
@@ -58,4 +62,5 @@
         ResourceKind.UPSTREAM -> copy(upstreams = upstreams.remove(UpstreamId(name)))
         ResourceKind.SHARD -> copy(shards = shards.remove(ShardId(name)))
         ResourceKind.TEAM -> copy(teams = teams.remove(name))
+        ResourceKind.REGION -> copy(regions = regions.remove(name))
     }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/ResourceKind.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/ResourceKind.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.kernel.catalog
 
+import org.anvilbarrow.protocol.model.RegionSpec
 import org.anvilbarrow.protocol.model.ResourceSpec
 import org.anvilbarrow.protocol.model.ShardSpec
 import org.anvilbarrow.protocol.model.TeamSpec
@@ -14,6 +15,7 @@
     public val plural: String,
 ) {
     TEAM("team", "teams"),
+    REGION("region", "regions"),
     SHARD("shard", "shards"),
     UPSTREAM("upstream", "upstreams"),
     WORKLOAD("workload", "workloads"),
@@ -33,6 +35,7 @@
                 is UpstreamSpec -> UPSTREAM
                 is ShardSpec -> SHARD
                 is TeamSpec -> TEAM
+                is RegionSpec -> REGION
             }
     }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/ShardRules.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/ShardRules.kt
@@ -36,7 +36,7 @@
                 SpecErrorCode.IN_USE,
                 "region",
                 region,
-                "${before?.region} while the shard has upstreams",
+                "${before?.region} while the shard has upstreams or is a home shard",
             )
     }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/SpecLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/SpecLimits.kt
@@ -39,6 +39,9 @@
     /** Numbers of anchors that a shard may have; without anchors it is home to no request. */
     public val ANCHOR_COUNTS: Set<Int> = setOf(0, 3, 5)
 
+    /** Most home shards of one region; about twice its shards in two years. */
+    public const val MAX_HOME_SHARDS: Int = 64
+
     /** Most objects of one kind; about five times what is expected in two years. */
     public const val MAX_OBJECTS: Int = 10_000
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/SpecValidation.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/SpecValidation.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.kernel.catalog
 
+import org.anvilbarrow.protocol.model.RegionSpec
 import org.anvilbarrow.protocol.model.ResourceSpec
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.ShardId
@@ -27,6 +28,7 @@
                 is UpstreamSpec -> checkUpstream(UpstreamId(name), spec, context.catalog)
                 is ShardSpec -> ShardRules(ShardId(name), context).check(spec)
                 is TeamSpec -> checkTeam(spec)
+                is RegionSpec -> checkRegion(name, spec, context.catalog)
             }
 
     /** Checks whether an object may be deleted; one that does not exist may be. */
@@ -40,6 +42,7 @@
             ResourceKind.TEAM -> checkTeamUnused(name, catalog)
             ResourceKind.UPSTREAM -> checkNoAnchor(UpstreamId(name), catalog)
             ResourceKind.SHARD -> checkShardUnused(ShardId(name), catalog)
+            ResourceKind.REGION -> checkFree("name", name, name !in catalog.regions, "a region that does not exist")
         }
 
     private fun checkCount(
@@ -67,7 +70,7 @@
         checkSomeResource("resources", spec.resources) +
         checkTasks(spec) +
         checkRange("expectedRunMillis", spec.expectedRunMillis, 1L..SpecLimits.MAX_EXPECTED_RUN_MILLIS) +
-        checkReference("region", spec.region, spec.region in regions, "the region of a shard: $regions") +
+        checkReference("region", spec.region, spec.region in regions, "one of ${regions.sorted()}") +
         checkReference("team", spec.team, spec.team == SpecValidation.DEFAULT_TEAM || spec.team in teams, "a team") +
         checkPolicy(spec.placementPolicy, context.placementPolicies)
 }
@@ -158,15 +161,29 @@
             ?.spec
             ?.anchors
             .orEmpty()
-    val region = catalog.shards[id]?.spec?.region
-    val lastOfRegion = region != null && catalog.shards.none { it.key != id && it.value.spec.region == region }
-    val user =
-        catalog.workloads.entries
-            .firstOrNull { lastOfRegion && it.value.spec.region == region }
+    val homeOf =
+        catalog.regions.entries
+            .firstOrNull { id in it.value.spec.homeShards }
             ?.key
     return checkFree("name", id, members.isEmpty(), "a shard without upstreams; it has $members") +
         checkFree("anchors", anchors, anchors.isEmpty(), "empty before the shard is deleted") +
-        checkFree("name", id, user == null, "not the last shard of region $region, as workload $user needs it")
+        checkFree("name", id, homeOf == null, "a shard that is no home shard; region $homeOf names it")
+}
+
+private fun checkRegion(
+    name: String,
+    spec: RegionSpec,
+    catalog: Catalog,
+): List<SpecError> {
+    val before = catalog.regions[name]?.spec
+    val shards = spec.homeShards
+    return checkRange("homeShards.size", shards.size.toLong(), 1L..SpecLimits.MAX_HOME_SHARDS) +
+        checkFree("homeShards", shards, shards.distinct() == shards, "distinct shards") +
+        checkFree("homeShards", shards, before == null || before == spec, "${before?.homeShards}, as it never changes") +
+        shards.flatMap { shard ->
+            val valid = catalog.shards[shard]?.spec?.region == name
+            checkReference("homeShards", shard.value, valid, "a declared shard of region $name")
+        }
 }
 
 internal fun checkReference(
@@ -189,4 +206,5 @@
         ResourceKind.UPSTREAM -> upstreams.size
         ResourceKind.SHARD -> shards.size
         ResourceKind.TEAM -> teams.size
+        ResourceKind.REGION -> regions.size
     }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/Event.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/Event.kt
@@ -47,6 +47,11 @@
         val sentAt: Instant,
     ) : Event
 
+    /** The first byte of an answer goes to the caller of [exchange]; from now on its deadline does not end it. */
+    public data class AnswerStarted(
+        val exchange: ExchangeId,
+    ) : Event
+
     /** One task of an [Effect.Execute] ended at this ingress. */
     public data class TaskFinished(
         val exchange: ExchangeId,
@@ -60,11 +65,23 @@
     public data class LogRead(
         val records: List<LogRecord>,
         val endOffset: Long,
+        /** Lowest offset that the log still keeps. */
+        val firstRetainedOffset: Long = 0,
+    ) : Event
+
+    /** The log no longer keeps the records that were asked for; those from [firstRetainedOffset] on are kept. */
+    public data class LogCompacted(
+        val firstRetainedOffset: Long,
     ) : Event
 
     /** The log did not answer. */
     public data object LogUnreachable : Event
 
+    /** An operator asked to drain an upstream; its log record may not have been read yet. */
+    public data class DrainRequested(
+        val upstream: UpstreamId,
+    ) : Event
+
     /** The VM list was read. */
     public data class VmListRead(
         val vms: List<VmEntry>,
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/model/Outcome.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/model/Outcome.kt
@@ -55,6 +55,9 @@
     @SerialName("issued_too_long_ago")
     ISSUED_TOO_LONG_AGO,
 
+    @SerialName("home_not_asked")
+    HOME_NOT_ASKED,
+
     @SerialName("home_unreachable")
     HOME_UNREACHABLE,
 
@@ -63,6 +66,9 @@
 
     @SerialName("deadline_passed")
     DEADLINE_PASSED,
+
+    @SerialName("task_failed")
+    TASK_FAILED,
 }
 
 /** The one final outcome of a request that did not produce an answer body. */
