--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/OutcomeResponse.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/OutcomeResponse.kt
@@ -1,6 +1,5 @@
 package org.anvilbarrow.adapters.http
 
-import kotlinx.serialization.Serializable
 import org.anvilbarrow.protocol.codec.strictJson
 import org.anvilbarrow.protocol.model.Outcome
 import org.anvilbarrow.protocol.model.RefusalReason
@@ -8,19 +7,6 @@
 import org.http4k.core.Response
 import org.http4k.core.Status
 
-/** JSON body of an answer to a request that got an outcome instead of an upstream's answer. */
-@Serializable
-public data class OutcomeBody(
-    /** `refused` or `unknown`. */
-    val outcome: String,
-    val reason: String,
-    /** False: the request did not run and will not. Null: it may have run. */
-    val ran: Boolean?,
-    /** When to come back, or null if coming back cannot help. */
-    val retryAfterMillis: Long?,
-    val detail: String,
-)
-
 /** Returns the HTTP answer that tells a caller of [outcome]. */
 public fun outcomeResponse(outcome: Outcome): Response =
     when (outcome) {
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/RequestCheck.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/RequestCheck.kt
@@ -40,21 +40,21 @@
         val deadline = request.time(CallerHeaders.DEADLINE, faults)
         if (issuedAt != null && deadline != null) checkOrder(issuedAt, deadline, faults)
         val first = attempt(request, faults)
-        if (faults.isNotEmpty() || id == null || issuedAt == null || deadline == null) {
-            return CheckedRequest.Faulty(Status.BAD_REQUEST, "the request is malformed", faults)
-        }
+        if (faults.isNotEmpty()) return CheckedRequest.Faulty(Status.BAD_REQUEST, "the request is malformed", faults)
         val work =
             WorkRequest(
-                RequestId(id),
+                RequestId(known(id)),
                 workload,
-                issuedAt.toEpochMilli(),
-                deadline.toEpochMilli(),
+                known(issuedAt).toEpochMilli(),
+                known(deadline).toEpochMilli(),
                 first,
                 request.header(CallerHeaders.TRACEPARENT)?.takeIf(TRACEPARENT::matches),
             )
         return checkBody(request, work)
     }
 
+    private fun <T : Any> known(value: T?): T = checkNotNull(value) { "a missing value was not reported" }
+
     private fun checkId(
         id: String,
         faults: MutableList<RequestFault>,
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/IncomingConnection.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/IncomingConnection.kt
@@ -38,14 +38,19 @@
     private suspend fun greet(): SchedulerId {
         val frame = frames.read()
         val hello = HelloCodec.decode(frame) ?: throw PeerFault("the first frame (${frame.size} bytes) is no hello")
-        if (hello.protocolVersion != PeerHello.PROTOCOL_VERSION) {
-            throw PeerFault("protocolVersion is ${hello.protocolVersion}, allowed is ${PeerHello.PROTOCOL_VERSION}")
-        }
-        if (hello.scheduler == self) throw PeerFault("scheduler is '$self', which is the id of this process")
-        if (hello.scheduler !in known) throw PeerFault("scheduler is '${hello.scheduler}', allowed are $known")
+        problemOf(hello)?.let { throw PeerFault(it) }
         return hello.scheduler
     }
 
+    private fun problemOf(hello: PeerHello): String? =
+        when {
+            hello.protocolVersion != PeerHello.PROTOCOL_VERSION ->
+                "protocolVersion is ${hello.protocolVersion}, allowed is ${PeerHello.PROTOCOL_VERSION}"
+            hello.scheduler == self -> "scheduler is '$self', which is the id of this process"
+            hello.scheduler !in known -> "scheduler is '${hello.scheduler}', allowed are $known"
+            else -> null
+        }
+
     private suspend fun acknowledge(nowMillis: Long) {
         if (nowMillis - limits.acknowledge.toMillis() < lastAcknowledged) return
         lastAcknowledged = nowMillis
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingsReader.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingsReader.kt
@@ -39,20 +39,22 @@
         val peers = peers(id)
         if (faults.isNotEmpty()) return null
         return SchedulerSettings(
-            id = SchedulerId(id ?: return null),
-            region = region ?: return null,
-            failureDomain = domain ?: return null,
-            caller = caller ?: return null,
-            peer = peer ?: return null,
+            id = SchedulerId(known(id)),
+            region = known(region),
+            failureDomain = known(domain),
+            caller = known(caller),
+            peer = known(peer),
             peers = peers,
-            logUrl = logUrl ?: return null,
-            vmListUrl = vmListUrl ?: return null,
+            logUrl = known(logUrl),
+            vmListUrl = known(vmListUrl),
             callerLimits = callerLimits,
             process = process,
-            logFormat = format ?: return null,
+            logFormat = known(format),
         )
     }
 
+    private fun <T : Any> known(value: T?): T = checkNotNull(value) { "a missing value was not reported" }
+
     private fun callerLimits(): CallerLimits {
         val defaults = CallerLimits()
         return defaults.copy(
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/telemetry/SchedulerMetrics.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/telemetry/SchedulerMetrics.kt
@@ -13,6 +13,7 @@
 import java.time.Duration
 
 /** Prometheus metrics of one scheduler process. */
+@Suppress("SpreadOperator") // The histogram builder takes its bounds only as separate arguments.
 public class SchedulerMetrics(
     private val region: String,
     peers: List<PeerAddress> = emptyList(),
