--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/SchedulerHost.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/SchedulerHost.kt
@@ -133,6 +133,7 @@
         val before = state
         val step = kernel().step(state, seen, clock.instant())
         state = step.state
+        world.onStep(this, seen, step.effects)
         val effects = world.mutation.onEffects(step.effects)
         if (event != Event.Tick || effects.any { it !is Effect.RequestLease && it !is Effect.SendToPeer }) {
             world.trace.add(name, event)
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/World.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/World.kt
@@ -45,6 +45,9 @@
     /** Called after each effect was queued; lets a table test time a fault by what the kernel just decided. */
     var onEffect: (SchedulerHost, Effect) -> Unit = { _, _ -> }
 
+    /** Called after each step of a kernel with the effects that it returned. */
+    var onStep: (SchedulerHost, Event, List<Effect>) -> Unit = { _, _, _ -> }
+
     fun upstream(id: UpstreamId): FakeUpstream = byId.getValue(id)
 
     fun afterEffect(
