--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpCall.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpCall.kt
@@ -26,21 +26,23 @@
     ) : CallReply
 }
 
-/** Sends [request] and reads its reply of at most [maxReplyBytes]. */
+/** Sends what [request] returns and reads the reply of at most [maxReplyBytes]. */
 internal fun JettyTransport.call(
-    request: Request,
     timeout: Duration,
     maxReplyBytes: Int,
+    request: () -> Request,
 ): CallReply =
     HttpExchange(this, timeout).use { exchange ->
-        when (val sent = exchange.send(request)) {
+        when (val sent = exchange.send(request = request)) {
             is Sent.NotSent -> CallReply.NotSent(sent.detail)
 
             is Sent.MaybeSent -> CallReply.Unknown(sent.detail)
 
             is Sent.Answered ->
                 try {
-                    val body = sent.response.body.stream.readNBytes(maxReplyBytes + 1)
+                    val body =
+                        sent.response.body.stream
+                            .readNBytes(maxReplyBytes + 1)
                     if (body.size <= maxReplyBytes) {
                         CallReply.Replied(sent.response.status.code, body)
                     } else {
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpExchange.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpExchange.kt
@@ -53,14 +53,18 @@
     @Volatile
     private var completed = false
 
-    /** Sends [request], with [body] as its body if it is not null. */
+    /**
+     * Sends what [request] returns, with [body] as its body if it is not null.
+     *
+     * [request] is called here because http4k throws on an address that is none.
+     */
     @Suppress("TooGenericExceptionCaught") // Jetty and http4k document no closed set of exceptions.
     fun send(
-        request: Request,
         body: InputStream? = null,
+        request: () -> Request,
     ): Sent =
         try {
-            val response = transport.send(request) { prepare(it, body) }
+            val response = transport.send(request()) { prepare(it, body) }
             if (answered) Sent.Answered(response) else giveUp(response.status.description)
         } catch (e: InterruptedException) {
             Thread.currentThread().interrupt()
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpLogClient.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpLogClient.kt
@@ -21,9 +21,11 @@
     private val transport = JettyTransport("log-client", limits)
 
     override fun append(payloads: List<String>): AppendCallResult {
-        val request =
-            Request(Method.POST, "$baseUrl/v1/log/append").json(AppendRequest.serializer(), AppendRequest(payloads))
-        return when (val reply = transport.call(request, limits.callTimeout, MAX_APPEND_REPLY_BYTES)) {
+        val reply =
+            transport.call(limits.callTimeout, MAX_APPEND_REPLY_BYTES) {
+                Request(Method.POST, "$baseUrl/v1/log/append").json(AppendRequest.serializer(), AppendRequest(payloads))
+            }
+        return when (reply) {
             is CallReply.NotSent -> AppendCallResult.NotAppended(reply.detail)
             is CallReply.Unknown -> AppendCallResult.MaybeAppended(reply.detail)
             is CallReply.Replied -> appended(reply)
@@ -31,8 +33,11 @@
     }
 
     override fun read(fromOffset: Long): ReadCallResult {
-        val request = Request(Method.GET, "$baseUrl/v1/log/records?from=$fromOffset")
-        return when (val reply = transport.call(request, limits.callTimeout, limits.maxLogPageBytes)) {
+        val reply =
+            transport.call(limits.callTimeout, limits.maxLogPageBytes) {
+                Request(Method.GET, "$baseUrl/v1/log/records?from=$fromOffset")
+            }
+        return when (reply) {
             is CallReply.NotSent -> ReadCallResult.Unreachable(reply.detail)
             is CallReply.Unknown -> ReadCallResult.Unreachable(reply.detail)
             is CallReply.Replied -> page(reply, fromOffset)
@@ -63,7 +68,10 @@
             return ReadCallResult.Unreachable("the log answered ${reply.status}")
         }
         val gone = reply.status == STATUS_GONE
-        val decoded = reply.decode(RecordsPage.serializer()) { if (gone) it.behind(fromOffset) else it.problem(fromOffset) }
+        val decoded =
+            reply.decode(
+                RecordsPage.serializer(),
+            ) { if (gone) it.behind(fromOffset) else it.problem(fromOffset) }
         return when (decoded) {
             is DecodedReply.Malformed -> ReadCallResult.Unreachable(decoded.detail)
             is DecodedReply.Valid -> decoded.value.result(gone)
@@ -87,7 +95,13 @@
     }
 
     private fun RecordsPage.behind(fromOffset: Long): String? =
-        if (firstRetainedOffset <= fromOffset) "offset $fromOffset is gone, but $firstRetainedOffset is retained" else null
+        if (firstRetainedOffset <=
+            fromOffset
+        ) {
+            "offset $fromOffset is gone, but $firstRetainedOffset is retained"
+        } else {
+            null
+        }
 
     private fun CallReply.Replied.text(): String = body.decodeToString().take(MAX_DETAIL_CHARS).trim()
 
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpUpstreamClient.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpUpstreamClient.kt
@@ -34,8 +34,11 @@
         address: String,
         request: LeaseRequest,
     ): LeaseCallResult {
-        val call = Request(Method.POST, "http://$address/v1/lease").json(LeaseRequest.serializer(), request)
-        return when (val reply = calls.call(call, limits.leaseTimeout, limits.maxLeaseReplyBytes)) {
+        val reply =
+            calls.call(limits.leaseTimeout, limits.maxLeaseReplyBytes) {
+                Request(Method.POST, "http://$address/v1/lease").json(LeaseRequest.serializer(), request)
+            }
+        return when (reply) {
             is CallReply.NotSent -> LeaseCallResult.Unanswered(reply.detail)
             is CallReply.Unknown -> LeaseCallResult.Unanswered(reply.detail)
             is CallReply.Replied -> leaseResult(reply)
@@ -46,8 +49,9 @@
         address: String,
         release: LeaseRelease,
     ) {
-        val call = Request(Method.POST, "http://$address/v1/lease/release").json(LeaseRelease.serializer(), release)
-        calls.call(call, limits.leaseTimeout, MAX_IGNORED_BYTES)
+        calls.call(limits.leaseTimeout, MAX_IGNORED_BYTES) {
+            Request(Method.POST, "http://$address/v1/lease/release").json(LeaseRelease.serializer(), release)
+        }
     }
 
     /**
@@ -62,12 +66,10 @@
         start: TaskStart,
         onAnswer: (TaskAnswer) -> Unit,
     ): TaskResult {
-        val instruction = grant.instruction(start) ?: return TaskResult.NOT_RUN
-        if (start.timeout <= Duration.ZERO) return TaskResult.NOT_RUN
         val body = start.body.buffered(BUFFER_BYTES)
-        if (!body.isReadable()) return TaskResult.NOT_RUN
+        if (!start.isSendable() || start.timeout <= Duration.ZERO || !body.isReadable()) return TaskResult.NOT_RUN
         return HttpExchange(tasks, start.timeout).use { exchange ->
-            when (val sent = exchange.send(instruction.body(body, start.bodyBytes), body)) {
+            when (val sent = exchange.send(body) { grant.instruction(start).body(body, start.bodyBytes) }) {
                 is Sent.NotSent -> TaskResult.NOT_RUN
                 is Sent.MaybeSent -> TaskResult.LOST
                 is Sent.Answered -> resultOf(sent.response, start.requestId, onAnswer)
@@ -76,7 +78,7 @@
     }
 
     override fun stopTask(grant: Grant) {
-        calls.call(grant.stopRequest(), limits.callTimeout, MAX_IGNORED_BYTES)
+        calls.call(limits.callTimeout, MAX_IGNORED_BYTES, grant::stopRequest)
     }
 
     override fun close() {
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpVmListClient.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpVmListClient.kt
@@ -19,8 +19,9 @@
     private val transport = JettyTransport("vm-list-client", limits)
 
     override fun list(): List<VmEntry>? {
-        val request = Request(Method.GET, "$baseUrl/v1/vms")
-        return when (val reply = transport.call(request, limits.callTimeout, limits.maxVmListBytes)) {
+        val reply =
+            transport.call(limits.callTimeout, limits.maxVmListBytes) { Request(Method.GET, "$baseUrl/v1/vms") }
+        return when (reply) {
             is CallReply.NotSent -> unread(reply.detail)
             is CallReply.Unknown -> unread(reply.detail)
             is CallReply.Replied -> decoded(reply)
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/TaskInstructionRequest.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/TaskInstructionRequest.kt
@@ -13,9 +13,11 @@
 /** The form of version 00 of the W3C Trace Context; other values are not sent on. */
 private val traceparentForm = Regex("[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
 
-/** Returns the instruction to start the task of this grant, without its body, or null if a header cannot carry it. */
-internal fun Grant.instruction(start: TaskStart): Request? {
-    if (!start.requestId.isHeaderValue() || !start.workload.isHeaderValue()) return null
+/** Returns false if no header can carry the values of this start. */
+internal fun TaskStart.isSendable(): Boolean = requestId.isHeaderValue() && workload.isHeaderValue()
+
+/** Returns the instruction to start the task of this grant, without its body. */
+internal fun Grant.instruction(start: TaskStart): Request {
     val request =
         taskRequest("")
             .header(TaskHeaders.START_BY_MILLIS, startByUpstreamMillis.toString())
