--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/CallerRoutes.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/CallerRoutes.kt
@@ -71,7 +71,7 @@
         if (!free.tryAcquire()) return outcomeResponse(full())
         var streaming = false
         try {
-            val answer = work.handle(checked.request, RequestBody(request.body.stream, checked.bodyBytes))
+            val answer = work.handle(checked.request, RequestBody(request.body.stream, checked.request.bodyBytes))
             streaming = answer is CallerAnswer.Streamed
             return when (answer) {
                 is CallerAnswer.Final -> outcomeResponse(answer.outcome)
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/RequestCheck.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/RequestCheck.kt
@@ -13,7 +13,6 @@
 internal sealed interface CheckedRequest {
     data class Accepted(
         val request: WorkRequest,
-        val bodyBytes: Long,
     ) : CheckedRequest
 
     data class Faulty(
@@ -43,12 +42,12 @@
         if (faults.isNotEmpty()) return CheckedRequest.Faulty(Status.BAD_REQUEST, "the request is malformed", faults)
         val work =
             WorkRequest(
-                RequestId(known(id)),
-                workload,
-                known(issuedAt).toEpochMilli(),
-                known(deadline).toEpochMilli(),
-                first,
-                request.header(CallerHeaders.TRACEPARENT)?.takeIf(TRACEPARENT::matches),
+                id = RequestId(known(id)),
+                workload = workload,
+                issuedAtEpochMillis = known(issuedAt).toEpochMilli(),
+                deadlineEpochMillis = known(deadline).toEpochMilli(),
+                firstAttempt = first,
+                traceparent = request.header(CallerHeaders.TRACEPARENT)?.takeIf(TRACEPARENT::matches),
             )
         return checkBody(request, work)
     }
@@ -93,12 +92,12 @@
     ): CheckedRequest {
         val declared = request.header("Content-Length")
         val chunked = request.header("Transfer-Encoding")
-        val bytes = if (declared == null && chunked == null) 0 else declared?.toLongOrNull()
+        val bytes = if (declared == null && chunked == null) 0L else declared?.toLongOrNull()
         val allowed = "a Content-Length of 0 to ${limits.maxBodyBytes} bytes"
         return when {
             bytes == null -> faultyBody(Status.LENGTH_REQUIRED, chunked?.let { "Transfer-Encoding: $it" }, allowed)
             bytes > limits.maxBodyBytes -> faultyBody(Status.REQUEST_ENTITY_TOO_LARGE, "$bytes bytes", allowed)
-            else -> CheckedRequest.Accepted(work, bytes)
+            else -> CheckedRequest.Accepted(work.copy(bodyBytes = bytes))
         }
     }
 
--- a/adapters/src/test/kotlin/org/anvilbarrow/adapters/http/RequestCheckTest.kt
+++ b/adapters/src/test/kotlin/org/anvilbarrow/adapters/http/RequestCheckTest.kt
@@ -107,7 +107,7 @@
             DynamicTest.dynamicTest("offsets, attempt and trace") {
                 val request = valid.header("Request-Attempt", "first").header("traceparent", "broken")
                 expectThat(check.check("map-tiles", request)).isA<CheckedRequest.Accepted>().and {
-                    get { bodyBytes }.isEqualTo(10)
+                    get { this.request.bodyBytes }.isEqualTo(10)
                     get { this.request.deadlineEpochMillis - this.request.issuedAtEpochMillis }.isEqualTo(5_250)
                     get { this.request.firstAttempt }.isTrue()
                     get { this.request.traceparent }.isNull()
