--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/FrameChannel.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/FrameChannel.kt
@@ -9,6 +9,7 @@
 import io.ktor.utils.io.writeInt
 import kotlinx.coroutines.withTimeoutOrNull
 import org.anvilbarrow.protocol.codec.PeerCodec
+import java.io.EOFException
 import java.io.IOException
 import java.time.Duration
 
@@ -17,6 +18,11 @@
     message: String,
 ) : IOException(message)
 
+/** The connection has to be replaced because nothing passes over it. */
+internal class PeerSilence(
+    message: String,
+) : IOException(message)
+
 /** Reads and writes frames with a length prefix of four bytes; an empty frame acknowledges those before it. */
 internal class FrameChannel(
     socket: Socket,
@@ -33,14 +39,14 @@
                 throw PeerFault("frame length is $length bytes, the limit is ${PeerCodec.MAX_FRAME_BYTES}")
             }
             if (length == 0) EMPTY else input.readByteArray(length)
-        } ?: throw PeerFault("no whole frame arrived for $silence")
+        } ?: throw PeerSilence("no whole frame arrived for $silence")
 
     suspend fun write(frame: ByteArray) {
         withTimeoutOrNull(silence.toMillis()) {
             output.writeInt(frame.size)
             output.writeFully(frame)
             output.flush()
-        } ?: throw PeerFault("a frame of ${frame.size} bytes could not be written for $silence")
+        } ?: throw PeerSilence("a frame of ${frame.size} bytes could not be written for $silence")
     }
 
     suspend fun acknowledge(): Unit = write(EMPTY)
@@ -50,3 +56,7 @@
         private val EMPTY = ByteArray(0)
     }
 }
+
+/** Returns what ended a connection, for a log line; Ktor reports a closed connection as missing data. */
+internal fun describe(cause: Exception): String =
+    if (cause is EOFException) "the other end closed the connection" else cause.message ?: cause.javaClass.simpleName
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/OutgoingLink.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/OutgoingLink.kt
@@ -54,7 +54,7 @@
     private suspend fun connect(): Socket =
         withTimeoutOrNull(limits.silence.toMillis()) {
             aSocket(selector).tcp().connect(peer.host, peer.port) { noDelay = true }
-        } ?: throw PeerFault("no connection within ${limits.silence}")
+        } ?: throw PeerSilence("no connection within ${limits.silence}")
 
     private suspend fun session(socket: Socket): Unit =
         coroutineScope {
@@ -94,7 +94,7 @@
     private fun report(cause: Exception) {
         if (cause is CancellationException) return
         failures++
-        val text = "Peer ${peer.id} at ${peer.host}:${peer.port}: ${cause.message ?: cause.javaClass.simpleName}."
+        val text = "Lost peer ${peer.id} at ${peer.host}:${peer.port}: ${describe(cause)}."
         if (failures == 1) log.warn { text } else log.debug { text }
     }
 
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/PeerNetwork.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/PeerNetwork.kt
@@ -93,7 +93,7 @@
                 admit(server.accept())
             } catch (e: IOException) {
                 currentCoroutineContext().ensureActive()
-                log.error { "A connection could not be accepted: ${e.message ?: e.javaClass.simpleName}." }
+                log.error { "A connection could not be accepted: ${describe(e)}." }
                 delay(limits.firstBackoff.toMillis())
             }
         }
@@ -119,7 +119,7 @@
             log.error { "Closed the connection from ${socket.remoteAddress}: ${e.message}." }
         } catch (e: Exception) {
             currentCoroutineContext().ensureActive()
-            log.info { "The connection from ${socket.remoteAddress} ended: ${e.message ?: e.javaClass.simpleName}." }
+            log.info { "The connection from ${socket.remoteAddress} ended: ${describe(e)}." }
         } finally {
             incoming.decrementAndGet()
             socket.close()
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SchedulerSettings.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SchedulerSettings.kt
@@ -43,7 +43,7 @@
     /** Lease calls that are open at one time. */
     val leaseThreads: Int = 64,
     /** Interval of reading the log at its end. */
-    val logPoll: Duration = Duration.ofMillis(500),
+    val logPoll: Duration = Duration.ofSeconds(1),
     /** Interval of reading the VM list. */
     val vmListPoll: Duration = Duration.ofSeconds(1),
     /** How long a planned stop waits for requests in flight. */
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingKeys.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingKeys.kt
@@ -47,7 +47,7 @@
 
     internal val logUrl = SettingKey("log", "url", "", null, URL_RULE, "Base URL of the platform's log.", ::url)
     internal val logPoll =
-        millis("log", "poll", 500, 50..5_000, "Pause between two reads at the end of the log.")
+        millis("log", "poll", 1_000, 50..2_000, "Pause between two reads at the end of the log.")
     internal val vmListUrl =
         SettingKey("vm-list", "url", "", null, URL_RULE, "Base URL of the platform's VM list.", ::url)
     internal val vmListPoll =
