--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/Placer.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/Placer.kt
@@ -5,6 +5,7 @@
 import org.anvilbarrow.kernel.core.Turn
 import org.anvilbarrow.kernel.ledger.Grants
 import org.anvilbarrow.kernel.placement.candidatesIn
+import org.anvilbarrow.kernel.placement.openTo
 import org.anvilbarrow.kernel.placement.placementPolicyOf
 import org.anvilbarrow.protocol.model.SchedulerId
 import org.anvilbarrow.protocol.model.TaskId
@@ -109,7 +110,7 @@
         request: HomeRequest,
         spec: WorkloadSpec,
     ): List<UpstreamId> {
-        val candidates = turn.candidatesIn(spec.region, request.request.workload)
+        val candidates = turn.openTo(spec.urgency, turn.candidatesIn(spec.region, request.request.workload))
         if (candidates.isEmpty()) return emptyList()
         if (spec.tasks == 1) {
             return listOfNotNull(placementPolicyOf(spec).choose(spec.resources, candidates))
@@ -150,7 +151,10 @@
             )
         }
         asked.forEach { (task, owner) ->
-            val region = turn.state.membership.peers.getValue(owner).heartbeat.region
+            val region =
+                turn.state.membership.peers
+                    .getValue(owner)
+                    .heartbeat.region
             notePeerUse(turn, owner, spec)
             turn.send(owner, PeerMessage.Reserve(task, request.request.workload, region, spec.resources))
         }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ledger/ReservationChoice.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ledger/ReservationChoice.kt
@@ -2,6 +2,7 @@
 
 import org.anvilbarrow.kernel.core.Turn
 import org.anvilbarrow.kernel.placement.candidatesIn
+import org.anvilbarrow.kernel.placement.openTo
 import org.anvilbarrow.kernel.placement.placementPolicyOf
 import org.anvilbarrow.protocol.model.UpstreamId
 import org.anvilbarrow.protocol.peer.PeerMessage
@@ -15,7 +16,8 @@
         val spec =
             turn.state.catalog.workloads[reserve.workload]
                 ?.spec ?: return null
-        val candidates = turn.candidatesIn(reserve.region, reserve.workload).filter { it.upstream !in reserve.avoid }
+        val allowed = turn.candidatesIn(reserve.region, reserve.workload).filter { it.upstream !in reserve.avoid }
+        val candidates = turn.openTo(spec.urgency, allowed)
         return placementPolicyOf(spec).choose(reserve.resources, candidates)
     }
 }
