--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpLogClient.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpLogClient.kt
@@ -21,9 +21,11 @@
     private val transport = JettyTransport("log-client", limits)
 
     override fun append(payloads: List<String>): AppendCallResult {
-        val request =
-            Request(Method.POST, "$baseUrl/v1/log/append").json(AppendRequest.serializer(), AppendRequest(payloads))
-        return when (val reply = transport.call(request, limits.callTimeout, MAX_APPEND_REPLY_BYTES)) {
+        val reply =
+            transport.call(limits.callTimeout, MAX_APPEND_REPLY_BYTES) {
+                Request(Method.POST, "$baseUrl/v1/log/append").json(AppendRequest.serializer(), AppendRequest(payloads))
+            }
+        return when (reply) {
             is CallReply.NotSent -> AppendCallResult.NotAppended(reply.detail)
             is CallReply.Unknown -> AppendCallResult.MaybeAppended(reply.detail)
             is CallReply.Replied -> appended(reply)
@@ -31,8 +33,11 @@
     }
 
     override fun read(fromOffset: Long): ReadCallResult {
-        val request = Request(Method.GET, "$baseUrl/v1/log/records?from=$fromOffset")
-        return when (val reply = transport.call(request, limits.callTimeout, limits.maxLogPageBytes)) {
+        val reply =
+            transport.call(limits.callTimeout, limits.maxLogPageBytes) {
+                Request(Method.GET, "$baseUrl/v1/log/records?from=$fromOffset")
+            }
+        return when (reply) {
             is CallReply.NotSent -> ReadCallResult.Unreachable(reply.detail)
             is CallReply.Unknown -> ReadCallResult.Unreachable(reply.detail)
             is CallReply.Replied -> page(reply, fromOffset)
