--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/Folded.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/Folded.kt
@@ -37,7 +37,7 @@
         val kind = checkNotNull(ResourceKind.ofLabel(change.kind)) { "decoded a change of kind ${change.kind}" }
         val before = catalog.find(kind, change.name)
         val accepted =
-            (change.expectedVersion == null || change.expectedVersion == (before?.version ?: 0)) &&
+            isExpected(change.expectedVersion, before?.version) &&
                 (before != null || change.spec != null) &&
                 AnchorRule.allows(catalog, kind, change.name, change.spec)
         val remembered = moved.remembering(SnapshotChange(change.changeId, offset, accepted))
@@ -55,6 +55,12 @@
         return copy(catalog = changed, events = events.add(event))
     }
 
+    /** Zero means that the object does not exist, so an object whose version is offset 0 matches only "any". */
+    private fun isExpected(
+        expected: Long?,
+        version: Long?,
+    ) = expected == null || (if (expected == 0L) version == null else version == expected)
+
     private fun changeOf(
         before: ResourceSpec?,
         after: ResourceSpec?,
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/catalog/CatalogFoldPropertiesTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/catalog/CatalogFoldPropertiesTest.kt
@@ -1,9 +1,11 @@
 package org.anvilbarrow.kernel.catalog
 
+import net.jqwik.api.Arbitraries
+import net.jqwik.api.Arbitrary
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
+import net.jqwik.api.Provide
 import net.jqwik.api.constraints.IntRange
-import net.jqwik.api.constraints.Size
 import org.anvilbarrow.protocol.log.LogRecord
 import org.anvilbarrow.protocol.model.TeamSpec
 import strikt.api.expectThat
@@ -15,15 +17,9 @@
 /** Guards against two schedulers that read the same log and hold different catalogs. */
 internal class CatalogFoldPropertiesTest {
     @Property(seed = "1701", tries = 300)
-    fun `readers agree whatever the batches and however often records are repeated`(
-        @ForAll @Size(max = 80) choices: List<
-            @IntRange(max = 999)
-            Int,
-        >,
-        @ForAll @Size(max = 20) cuts: List<
-            @IntRange(max = 80)
-            Int,
-        >,
+    fun readersAgreeWhateverTheBatchesAndHoweverOftenRecordsAreRepeated(
+        @ForAll("choices") choices: List<Int>,
+        @ForAll("cuts") cuts: List<Int>,
     ) {
         val script = LogScript().apply { appendAll(choices) }
         val events = mutableListOf<CatalogEvent>()
@@ -39,14 +35,13 @@
     }
 
     @Property(seed = "1702", tries = 200)
-    fun `racing conditional changes have exactly one winner`(
-        @ForAll @Size(max = 30) choices: List<
-            @IntRange(max = 999)
-            Int,
-        >,
+    fun racingConditionalChangesHaveExactlyOneWinner(
+        @ForAll("choices") choices: List<Int>,
         @ForAll @IntRange(min = 2, max = 6) writers: Int,
     ) {
-        val script = LogScript().apply { appendAll(choices) }
+        val script = LogScript()
+        script.append("an object whose version is offset 0 matches no condition")
+        script.appendAll(choices)
         val before = script.events.size
         val version = script.catalog.teams["team-0"]?.version ?: 0
         val first = script.records.size.toLong()
@@ -56,15 +51,9 @@
     }
 
     @Property(seed = "1703", tries = 200)
-    fun `a change that is appended again after a lost answer changes the object once`(
-        @ForAll @Size(max = 20) before: List<
-            @IntRange(max = 999)
-            Int,
-        >,
-        @ForAll @Size(max = 20) between: List<
-            @IntRange(max = 999)
-            Int,
-        >,
+    fun aChangeThatIsAppendedAgainAfterALostAnswerChangesTheObjectOnce(
+        @ForAll("choices") before: List<Int>,
+        @ForAll("choices") between: List<Int>,
     ) {
         val script = LogScript().apply { appendAll(before) }
         script.put("lost", "mine", TeamSpec(weight = 5))
@@ -75,12 +64,9 @@
     }
 
     @Property(seed = "1704", tries = 300)
-    fun `a snapshot and the records after it give the catalog of the whole log`(
-        @ForAll @Size(min = 5, max = 80) choices: List<
-            @IntRange(max = 999)
-            Int,
-        >,
-        @ForAll @IntRange(max = 80) start: Int,
+    fun aSnapshotAndTheRecordsAfterItGiveTheCatalogOfTheWholeLog(
+        @ForAll("choices") choices: List<Int>,
+        @ForAll @IntRange(min = 0, max = 80) start: Int,
         @ForAll @IntRange(min = 1, max = 9) batch: Int,
     ) {
         val script = LogScript().apply { appendAll(choices) }
@@ -98,6 +84,22 @@
         expectThat(caughtUp.declared()).isEqualTo(script.catalog.declared())
     }
 
+    @Provide
+    fun choices(): Arbitrary<List<Int>> =
+        Arbitraries
+            .integers()
+            .between(0, 999)
+            .list()
+            .ofMaxSize(80)
+
+    @Provide
+    fun cuts(): Arbitrary<List<Int>> =
+        Arbitraries
+            .integers()
+            .between(0, 80)
+            .list()
+            .ofMaxSize(20)
+
     private fun readInBatches(
         catalog: Catalog,
         records: List<LogRecord>,
