--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/World.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/World.kt
@@ -58,6 +58,7 @@
         hosts.forEach { host -> timeline.after(millis(random.nextLong(MAX_START_DELAY_MILLIS))) { host.start() } }
         callers.schedule()
         plan.faults.forEach { timeline.after(millis(LOAD_START_MILLIS + it.atMillis)) { faults.inject(it.fault) } }
+        timeline.after(millis(HEALED_MILLIS)) { network.healQuality() }
         timeline.runUntil(millis(END_MILLIS)) {
             checker.violations.any(endsRun) ||
                 checker.violations.size > MAX_VIOLATIONS
