--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/SpecValidation.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/SpecValidation.kt
@@ -179,7 +179,12 @@
     val shards = spec.homeShards
     return checkRange("homeShards.size", shards.size.toLong(), 1L..SpecLimits.MAX_HOME_SHARDS) +
         checkFree("homeShards", shards, shards.distinct() == shards, "distinct shards") +
-        checkFree("homeShards", shards, before == null || before == spec, "${before?.homeShards}, as it never changes") +
+        checkFree(
+            "homeShards",
+            shards,
+            before == null || before == spec,
+            "${before?.homeShards}, as it never changes",
+        ) +
         shards.flatMap { shard ->
             val valid = catalog.shards[shard]?.spec?.region == name
             checkReference("homeShards", shard.value, valid, "a declared shard of region $name")
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/Placer.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/Placer.kt
@@ -150,7 +150,10 @@
             )
         }
         asked.forEach { (task, owner) ->
-            val region = turn.state.membership.peers.getValue(owner).heartbeat.region
+            val region =
+                turn.state.membership.peers
+                    .getValue(owner)
+                    .heartbeat.region
             notePeerUse(turn, owner, spec)
             turn.send(owner, PeerMessage.Reserve(task, request.request.workload, region, spec.resources))
         }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Callers.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Callers.kt
@@ -26,6 +26,16 @@
         return exchanges.filter { it.sentAtMicros in window }
     }
 
+    /** True if nothing about the request itself keeps it from being answered. */
+    fun isFair(exchange: Exchange): Boolean {
+        val sentAtMillis = SkewedClock.START.toEpochMilli() + exchange.sentAtMicros / MICROS_PER_MILLI
+        val request = exchange.request
+        return request.firstAttempt &&
+            request.issuedAtEpochMillis - sentAtMillis in -SMALL_SKEW_MILLIS..SMALL_SKEW_MILLIS &&
+            exchange.ending != Ending.CALLER_GONE &&
+            !request.workload.startsWith("huge")
+    }
+
     /** Schedules the load and, after all faults have healed, one probe per scheduler and region. */
     fun schedule() {
         var at = World.LOAD_START_MILLIS
