Answer "not home" while the catalog is not current

Change: the home desk answers NOT_HOME until the catalog is current; the ingress then asks the next home.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/HomeDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/HomeDesk.kt
@@ -30,6 +30,7 @@
         val shard = turn.state.catalog.homeShardOf(place.request)
         val outcome =
             when {
+                !turn.state.catalog.current -> refused(RefusalReason.NOT_HOME)
                 spec == null || shard == null -> refused(RefusalReason.UNKNOWN_WORKLOAD)
                 !isHome(turn, shard) -> refused(RefusalReason.NOT_HOME, turn.limits.leaseTtl.toMillis())
                 known != null -> null
