--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Checker.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Checker.kt
@@ -16,6 +16,7 @@
     private val leaving = LeavingChecks(world, ::report)
     private val catalogs = CatalogChecks(world, ::report)
     val violations: List<Violation> get() = found
+    val overlappingRetries: Int get() = runs.overlappingRetries
 
     fun beforeStep(
         host: SchedulerHost,
