--- a/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/cell/Cell.kt
+++ b/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/cell/Cell.kt
@@ -4,6 +4,7 @@
 import org.anvilbarrow.protocol.codec.strictJson
 import org.anvilbarrow.protocol.log.CatalogPayload
 import org.anvilbarrow.protocol.log.LogRecord
+import org.anvilbarrow.protocol.model.RegionSpec
 import org.anvilbarrow.protocol.model.ResourceSpec
 import org.anvilbarrow.protocol.model.SchedulerId
 import org.anvilbarrow.protocol.model.ShardId
@@ -55,6 +56,9 @@
         val changes =
             workloads.map { (name, spec) -> change("workload", name, spec) } +
                 shards.map { (id, spec) -> change("shard", id.value, spec) } +
+                shards.entries.groupBy({ it.value.region }, { it.key }).map { (region, homeShards) ->
+                    change("region", region, RegionSpec(homeShards))
+                } +
                 upstreams.map { change("upstream", it.id.value, it.spec) }
         return changes.mapIndexed { offset, change ->
             LogRecord(offset.toLong(), strictJson.encodeToString(CatalogPayload.serializer(), change))
--- a/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/measure/Packing.kt
+++ b/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/measure/Packing.kt
@@ -30,7 +30,7 @@
     val offlineShare: Double get() = offline.average()
 
     /** Used share in parts of what the offline packer reaches with the same tasks. */
-    val ratio: Double get() = usedShare / offlineShare
+    val ratio: Double get() = if (offlineShare == 0.0) 1.0 else usedShare / offlineShare
 
     companion object {
         /** Time between two samples. */
--- a/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/simulation/CellSimulation.kt
+++ b/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/simulation/CellSimulation.kt
@@ -129,6 +129,7 @@
                 issuedAtEpochMillis = now,
                 deadlineEpochMillis = now + arrival.share.deadlineMillis,
                 firstAttempt = true,
+                bodyBytes = arrival.share.bodyBytes,
             )
         exchanges[exchange] = arrival
         waiting[exchange] = arrival
--- a/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/workload/UserMixes.kt
+++ b/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/workload/UserMixes.kt
@@ -13,6 +13,9 @@
 private const val SERVICE_DEADLINE_MILLIS = 30_000L
 private const val BATCH_DEADLINE_MILLIS = 240_000L
 
+/** One clip of drone footage. */
+private const val FOOTAGE_BYTES = 8L * 1024 * 1024
+
 private fun task(
     cores: Double,
     gibibytes: Double,
@@ -94,7 +97,8 @@
         "tuulivarjo",
         listOf(
             urgent("permit-check", task(0.5, 0.5), weight = 40.0, meanRunMillis = 150.0),
-            service("crack-analysis", task(16.0, 48.0, slots = 2), weight = 30.0, meanRunMillis = 2_000.0),
+            service("crack-analysis", task(16.0, 48.0, slots = 2), weight = 30.0, meanRunMillis = 2_000.0)
+                .copy(bodyBytes = FOOTAGE_BYTES),
             batch("gearbox-review", task(6.0, 40.0), weight = 28.0, meanRunMillis = 1_500.0),
             gang("blade-simulation", task(8.0, 16.0), tasks = 4, weight = 2.0, meanRunMillis = 3_000.0),
         ),
--- a/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/workload/WorkloadMix.kt
+++ b/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/workload/WorkloadMix.kt
@@ -27,6 +27,7 @@
     val weight: Double,
     val meanRunMillis: Double,
     val deadlineMillis: Long,
+    val bodyBytes: Long = DEFAULT_BODY_BYTES,
 ) {
     val waitClass: WaitClass =
         when {
@@ -46,10 +47,13 @@
             idempotent = idempotent,
             urgency = urgency,
             expectedRunMillis = (meanRunMillis / 2).toLong().coerceAtLeast(1),
-            team = name,
         )
 
     fun nameIn(region: String): String = "$name-$region"
+
+    private companion object {
+        const val DEFAULT_BODY_BYTES = 16L * 1024
+    }
 }
 
 /** The work of one user. */
