--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpExchange.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpExchange.kt
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.io.ByteBufferPool
 import org.http4k.core.Request
 import org.http4k.core.Response
+import org.http4k.core.StreamBody
 import java.io.IOException
 import java.io.InputStream
 import java.time.Duration
@@ -47,16 +48,14 @@
     @Volatile
     private var jettyRequest: JettyRequest? = null
 
-    @Volatile
-    private var answered = false
-
     @Volatile
     private var completed = false
 
     /**
      * Sends what [request] returns, with [body] as its body if it is not null.
      *
-     * [request] is called here because http4k throws on an address that is none.
+     * [request] is called here because http4k throws on an address that is none. http4k turns some failures into
+     * answers of its own; only an answer that arrived has a stream as its body.
      */
     @Suppress("TooGenericExceptionCaught") // Jetty and http4k document no closed set of exceptions.
     fun send(
@@ -65,7 +64,7 @@
     ): Sent =
         try {
             val response = transport.send(request()) { prepare(it, body) }
-            if (answered) Sent.Answered(response) else giveUp(response.status.description)
+            if (response.body is StreamBody) Sent.Answered(response) else giveUp(response.status.description)
         } catch (e: InterruptedException) {
             Thread.currentThread().interrupt()
             giveUp(e.toString())
@@ -88,7 +87,6 @@
             .timeout(timeout.toMillis().coerceAtLeast(1), TimeUnit.MILLISECONDS)
             .idleTimeout(NO_IDLE_TIMEOUT, TimeUnit.MILLISECONDS)
             .onRequestBegin { passGate(it) }
-            .onResponseHeaders { answered = true }
             .onComplete { completed = true }
     }
 
