Bound the time that a caller's body can hold a task's thread

The body is read in a thread of its own, so that a caller who stops sending no longer holds the traffic thread beyond the timeout. A closed client stays closed: http4k started the stopped Jetty client again.

--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpExchange.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpExchange.kt
@@ -9,7 +9,10 @@
 import java.io.IOException
 import java.io.InputStream
 import java.time.Duration
+import java.util.concurrent.ExecutionException
+import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
 import java.util.concurrent.atomic.AtomicReference
 import org.eclipse.jetty.client.Request as JettyRequest
 
@@ -72,6 +75,19 @@
             giveUp((e.cause ?: e).toString())
         }
 
+    /** Waits until [sending], which calls [send] in another thread, is done or this exchange has timed out. */
+    fun await(sending: Future<Sent>): Sent =
+        try {
+            sending.get(timeout.toMillis(), TimeUnit.MILLISECONDS)
+        } catch (e: InterruptedException) {
+            Thread.currentThread().interrupt()
+            giveUp(e.toString())
+        } catch (e: TimeoutException) {
+            giveUp("not answered within $timeout: $e")
+        } catch (e: ExecutionException) {
+            giveUp(e.toString())
+        }
+
     /** Ends the exchange if it is not complete; its connection is then closed. */
     override fun close() {
         if (!completed) jettyRequest?.abort(IOException("the exchange was ended by this process"))
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpUpstreamClient.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/HttpUpstreamClient.kt
@@ -11,6 +11,9 @@
 import java.io.IOException
 import java.io.InputStream
 import java.time.Duration
+import java.util.concurrent.Callable
+import java.util.concurrent.Executors
+import java.util.concurrent.RejectedExecutionException
 
 /**
  * Talks HTTP to upstreams.
@@ -30,6 +33,9 @@
     private val calls = JettyTransport("upstream-calls", limits)
     private val tasks = JettyTransport("upstream-tasks", limits)
 
+    /** Not Jetty's threads: bodies that stall would hold all of them. */
+    private val bodyReaders = Executors.newCachedThreadPool { Thread(it, "task-body").apply { isDaemon = true } }
+
     override fun requestLease(
         address: String,
         request: LeaseRequest,
@@ -58,18 +64,20 @@
      * Starts the task of [grant] and passes its answer to [onAnswer] as it arrives.
      *
      * [onAnswer] reads the answer to its end; the result is [TaskResult.LOST] if it stops earlier, throws an
-     * [IOException] or [start] times out, and also if the reply does not repeat the request id. The body of [start] is
-     * read ahead by one buffer before the instruction is sent, and by another thread after that.
+     * [IOException] or [start] times out, and also if the reply does not repeat the request id.
+     *
+     * The body of [start] is read in another thread, so that a caller who stops sending cannot hold this one beyond the
+     * timeout. Its first bytes are read before the instruction is sent; the timeout counts once before and once after
+     * they have arrived.
      */
     override fun startTask(
         grant: Grant,
         start: TaskStart,
         onAnswer: (TaskAnswer) -> Unit,
     ): TaskResult {
-        val body = start.body.buffered(BUFFER_BYTES)
-        if (!start.isSendable() || start.timeout <= Duration.ZERO || !body.isReadable()) return TaskResult.NOT_RUN
+        if (!start.isSendable() || start.timeout <= Duration.ZERO) return TaskResult.NOT_RUN
         return HttpExchange(tasks, start.timeout).use { exchange ->
-            when (val sent = exchange.send(body) { grant.instruction(start).body(body, start.bodyBytes) }) {
+            when (val sent = exchange.sendInBackground(grant, start)) {
                 is Sent.NotSent -> TaskResult.NOT_RUN
                 is Sent.MaybeSent -> TaskResult.LOST
                 is Sent.Answered -> resultOf(sent.response, start.requestId, onAnswer)
@@ -77,6 +85,25 @@
         }
     }
 
+    private fun HttpExchange.sendInBackground(
+        grant: Grant,
+        start: TaskStart,
+    ): Sent =
+        try {
+            await(bodyReaders.submit(Callable { send(grant, start) }))
+        } catch (_: RejectedExecutionException) {
+            Sent.NotSent("this client is closed")
+        }
+
+    private fun HttpExchange.send(
+        grant: Grant,
+        start: TaskStart,
+    ): Sent {
+        val body = start.body.buffered(BUFFER_BYTES)
+        if (!body.isReadable()) return Sent.NotSent("the body cannot be read")
+        return send(body) { grant.instruction(start).body(body, start.bodyBytes) }
+    }
+
     override fun stopTask(grant: Grant) {
         calls.call(limits.callTimeout, MAX_IGNORED_BYTES, grant::stopRequest)
     }
@@ -84,6 +111,7 @@
     override fun close() {
         calls.close()
         tasks.close()
+        bodyReaders.shutdownNow()
     }
 
     private fun leaseResult(reply: CallReply.Replied): LeaseCallResult {
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/JettyTransport.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/JettyTransport.kt
@@ -33,6 +33,10 @@
 ) : AutoCloseable {
     private val client = HttpClient(HttpClientTransportOverHTTP(connector(name, limits)))
 
+    /** http4k starts a stopped Jetty client again. */
+    @Volatile
+    private var closed = false
+
     init {
         client.isFollowRedirects = false
         client.httpCookieStore = HttpCookieStore.Empty()
@@ -54,9 +58,15 @@
     fun send(
         request: Request,
         prepare: (JettyRequest) -> JettyRequest,
-    ): Response = JettyClient(client, BodyMode.Stream, prepare)(request)
+    ): Response {
+        check(!closed) { "the client is closed" }
+        return JettyClient(client, BodyMode.Stream, prepare)(request)
+    }
 
-    override fun close(): Unit = client.stop()
+    override fun close() {
+        closed = true
+        client.stop()
+    }
 
     private companion object {
         /** Longest head of an answer, in bytes. */
--- a/adapters/src/test/kotlin/org/anvilbarrow/adapters/platform/HttpUpstreamClientTest.kt
+++ b/adapters/src/test/kotlin/org/anvilbarrow/adapters/platform/HttpUpstreamClientTest.kt
@@ -215,6 +215,13 @@
         }
     }
 
+    @Test
+    fun `a closed client starts nothing and throws nothing`() {
+        client.close()
+        expectThat(start()).isEqualTo(TaskResult.NOT_RUN)
+        expectThat(fixture.ask(fixture.address)).isA<LeaseCallResult.Unanswered>()
+    }
+
     @Test
     fun `an upstream that cannot be reached gives no lease`() {
         listOf("127.0.0.1:1", "::", "", "a b:1").forEach { address ->
