--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/catalog/CatalogFoldTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/catalog/CatalogFoldTest.kt
@@ -34,8 +34,10 @@
             """{"type":"change","changeId":"x","kind":"team","name":"a","spec":{"type":"team","colour":1}}""",
             """{"type":"change","changeId":"x","kind":"shard","name":"a","spec":{"type":"team"}}""",
             """{"type":"change","changeId":"","kind":"team","name":"a","spec":{"type":"team"}}""",
-            """{"type":"snapshot","snapshotId":"s","asOfOffset":9,"part":1,"parts":1,"objects":[],"recentChanges":[]}""",
-            """{"type":"snapshot","snapshotId":"s","asOfOffset":0,"part":2,"parts":1,"objects":[],"recentChanges":[]}""",
+            """{"type":"snapshot","snapshotId":"s","asOfOffset":9,"part":1,"parts":1,"objects":[],""" +
+                """"recentChanges":[]}""",
+            """{"type":"snapshot","snapshotId":"s","asOfOffset":0,"part":2,"parts":1,"objects":[],""" +
+                """"recentChanges":[]}""",
         ],
     )
     fun `a record that cannot be decoded is skipped and counted`(payload: String) {
