Test copies whose issue time is at the edge of what a home accepts

P4, REORDERING, no faults: s1 refuses copies of req207 with ISSUED_IN_FUTURE and then runs exchange, a copy sent before the last refusal reached its caller. Conclusion: kernel faults; the checks stay.

--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Callers.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Callers.kt
@@ -54,11 +54,14 @@
     /** Closes most open connections at once. */
     fun cancelMost() = exchanges.filter { it.open && random.nextInt(CANCEL_WAVE_ONE_IN) != 0 }.forEach(::cancel)
 
-    /** Sends copies of an id whose retention is about to end, one every [stepMillis]. */
-    fun sendOldCopies(stepMillis: Long) {
-        val age = world.limits.idRetention.toMillis() - OLD_COPIES / 2 * stepMillis
-        val request = request("once-r0", -age, MAX_DEADLINE_MILLIS, first = false)
-        repeat(OLD_COPIES) { copy ->
+    /** Sends copies of an id, one every [stepMillis]; in the middle of them its issue time is [aheadMillis] ahead. */
+    fun sendCopiesAround(
+        aheadMillis: Long,
+        stepMillis: Long,
+    ) {
+        val skew = aheadMillis + SPREAD_COPIES / 2 * stepMillis
+        val request = request("once-r0", skew, MAX_DEADLINE_MILLIS, first = false)
+        repeat(SPREAD_COPIES) { copy ->
             val host = world.hosts[copy % world.hosts.size]
             world.timeline.after(millis(copy * stepMillis)) { send(request, host) }
         }
@@ -145,7 +148,7 @@
     private companion object {
         const val PERCENT = 100
         const val MAX_COPIES = 4
-        const val OLD_COPIES = 24
+        const val SPREAD_COPIES = 24
         const val MAX_COPY_DELAY_MILLIS = 1_500L
         const val MIN_DEADLINE_MILLIS = 500L
         const val MAX_DEADLINE_MILLIS = 6_000L
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FailureTableTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/FailureTableTest.kt
@@ -131,15 +131,30 @@
     fun `a handover does not bring ids back whose retention has ended`() {
         for (seed in SEED until SEED + RETENTION_RUNS) {
             val world = World(plan(seed, List(SCHEDULERS) { at(it * 5_000L, Fault.PlannedStop(it, 100)) }))
-            for (step in 0 until RETENTION_REQUESTS) {
-                world.timeline.after(millis(World.LOAD_START_MILLIS + step * RETENTION_STEP_MILLIS)) {
-                    world.callers.sendOldCopies(RETENTION_STEP_MILLIS)
-                }
-            }
+            copiesAround(world, -world.limits.idRetention.toMillis())
+            expectNoViolation(world)
+        }
+    }
+
+    /** Guards P4 at the edge of what a home accepts: one copy is refused, the next is not, and answers overtake. */
+    @Test
+    fun `copies whose issue time is just too far ahead are not run after a refusal`() {
+        for (seed in SEED until SEED + AHEAD_RUNS) {
+            val world = World(plan(seed, emptyList()).copy(quality = NetworkQuality.REORDERING))
+            copiesAround(world, world.limits.issuedAhead.toMillis())
             expectNoViolation(world)
         }
     }
 
+    private fun copiesAround(
+        world: World,
+        aheadMillis: Long,
+    ) = repeat(EDGE_REQUESTS) { step ->
+        world.timeline.after(millis(World.LOAD_START_MILLIS + step * EDGE_STEP_MILLIS)) {
+            world.callers.sendCopiesAround(aheadMillis, EDGE_STEP_MILLIS)
+        }
+    }
+
     /** Guards P7: work that runs when a stop begins gets its answer, at the stopping scheduler and elsewhere. */
     @Test
     fun `planned stops of all schedulers one after the other cut off no exchange`() {
@@ -189,8 +204,9 @@
         const val UPSTREAMS = 6
         const val HELD_UP_RUNS = 5
         const val RETENTION_RUNS = 10
-        const val RETENTION_REQUESTS = 300
-        const val RETENTION_STEP_MILLIS = 50L
+        const val AHEAD_RUNS = 3
+        const val EDGE_REQUESTS = 300
+        const val EDGE_STEP_MILLIS = 50L
         const val STOP_RUNS = 3
 
         /** The rest are runs past their deadline. */
