--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/telemetry/SchedulerMetrics.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/telemetry/SchedulerMetrics.kt
@@ -8,9 +8,11 @@
 import org.anvilbarrow.adapters.http.MetricsText
 import org.anvilbarrow.adapters.peer.PeerAddress
 import org.anvilbarrow.adapters.peer.PeerTraffic
+import org.anvilbarrow.kernel.core.SchedulerState
 import org.anvilbarrow.protocol.model.SchedulerId
 import java.io.ByteArrayOutputStream
 import java.time.Duration
+import java.time.Instant
 
 /** Prometheus metrics of one scheduler process. */
 @Suppress("SpreadOperator") // The histogram builder takes its bounds only as separate arguments.
@@ -86,6 +88,7 @@
             .name("anvilbarrow_queued_events")
             .help("Events that wait for the control thread.")
             .register(registry)
+    private val gauges = StateMetrics(registry)
 
     /** A task of [workload] was started [wait] after its request arrived. */
     public fun started(
@@ -111,6 +114,12 @@
         events.set(queued.toDouble())
     }
 
+    /** What the scheduler owns and holds at [now]. */
+    public fun state(
+        state: SchedulerState,
+        now: Instant,
+    ): Unit = gauges.observe(state, now)
+
     /** The kernel failed to handle an event. */
     public fun stepFailed(): Unit = failedSteps.inc()
 
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/ControlLoop.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/ControlLoop.kt
@@ -62,6 +62,7 @@
             if (event != null) step(event, now)
             if (!now.isBefore(nextTick)) {
                 step(Event.Tick, now)
+                metrics.state(state, now)
                 nextTick = now.plus(limits.tick)
             }
         }
