--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SchedulerSettings.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SchedulerSettings.kt
@@ -19,6 +19,7 @@
     val callerLimits: CallerLimits = CallerLimits(),
     val process: ProcessLimits = ProcessLimits(),
     val logFormat: LogFormat = LogFormat.TEXT,
+    val spans: SpanChoice = SpanChoice.SAMPLED,
 )
 
 /** An IP address or host name and a port to listen on; port 0 lets the system choose. */
@@ -33,6 +34,15 @@
     JSON,
 }
 
+/** Which spans are written to the log. */
+public enum class SpanChoice {
+    NONE,
+
+    /** Those of requests whose caller set the sampled flag in `traceparent`. */
+    SAMPLED,
+    ALL,
+}
+
 /** Bounds of the process around the kernel. */
 @Suppress("MagicNumber") // The properties name the numbers.
 public data class ProcessLimits(
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingKeys.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingKeys.kt
@@ -55,6 +55,17 @@
     internal val logFormat =
         SettingKey("logging", "format", "", "text", "text or json", "How log lines are written.", ::format)
 
+    internal val spans =
+        SettingKey(
+            "logging",
+            "spans",
+            "",
+            "sampled",
+            SPAN_RULE,
+            "Which spans are logged; sampled follows traceparent.",
+            ::spans,
+        )
+
     /** All keys in the order in which they are documented. */
     public val all: List<SettingKey<*>> =
         listOf(
@@ -74,6 +85,7 @@
             vmListUrl,
             vmListPoll,
             logFormat,
+            spans,
         )
 
     /** Returns the table as Markdown. */
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingValues.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingValues.kt
@@ -5,6 +5,7 @@
 
 internal const val NAME_RULE = "1 to 64 of a-z, 0-9, '-', first a letter"
 internal const val ADDRESS_RULE = "host:port with a port from 0 to 65535"
+internal const val SPAN_RULE = "none, sampled or all"
 internal const val URL_RULE = "http://host:port without a path"
 
 private const val MAX_PORT = 65_535
@@ -27,3 +28,5 @@
     }
 
 internal fun format(text: String): LogFormat? = LogFormat.entries.firstOrNull { it.name.lowercase() == text }
+
+internal fun spans(text: String): SpanChoice? = SpanChoice.entries.firstOrNull { it.name.lowercase() == text }
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingsReader.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingsReader.kt
@@ -36,6 +36,7 @@
         val callerLimits = callerLimits()
         val process = processLimits()
         val format = value(SettingKeys.logFormat)
+        val spans = value(SettingKeys.spans)
         val peers = peers(id)
         if (faults.isNotEmpty()) return null
         return SchedulerSettings(
@@ -50,6 +51,7 @@
             callerLimits = callerLimits,
             process = process,
             logFormat = known(format),
+            spans = known(spans),
         )
     }
 
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/Exchanges.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/Exchanges.kt
@@ -6,6 +6,7 @@
 import org.anvilbarrow.adapters.http.RequestBody
 import org.anvilbarrow.adapters.http.WorkHandler
 import org.anvilbarrow.adapters.telemetry.SchedulerMetrics
+import org.anvilbarrow.adapters.telemetry.Tracing
 import org.anvilbarrow.kernel.core.Event
 import org.anvilbarrow.protocol.model.ExchangeId
 import org.anvilbarrow.protocol.model.Outcome
@@ -23,6 +24,7 @@
 internal class Exchanges(
     private val clock: InstantSource,
     private val metrics: SchedulerMetrics,
+    private val tracing: Tracing,
     private val offer: (Event) -> Boolean,
     private val post: (Event) -> Unit,
 ) : WorkHandler {
@@ -35,11 +37,14 @@
         request: WorkRequest,
         body: RequestBody,
     ): CallerAnswer {
-        val answer = answer(request, body)
+        val hop = tracing.start("ingress", request.traceparent)
+        hop.note("workload", request.workload).note("request", request.id.value)
+        val answer = answer(request.copy(traceparent = hop.traceparent), body)
         when (answer) {
             is CallerAnswer.Streamed -> metrics.outcome("answered", "answered")
             is CallerAnswer.Final -> count(answer.outcome)
         }
+        hop.end(if (answer is CallerAnswer.Streamed) "answered" else "not_answered")
         return answer
     }
 
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/SchedulerProcess.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/SchedulerProcess.kt
@@ -11,11 +11,14 @@
 import org.anvilbarrow.adapters.platform.LogClient
 import org.anvilbarrow.adapters.settings.SchedulerSettings
 import org.anvilbarrow.adapters.telemetry.SchedulerMetrics
+import org.anvilbarrow.adapters.telemetry.Tracing
 import org.anvilbarrow.kernel.core.Event
 import org.anvilbarrow.kernel.core.Kernel
 import org.anvilbarrow.kernel.core.KernelLimits
 import org.anvilbarrow.kernel.core.SchedulerIdentity
 import org.anvilbarrow.kernel.core.SchedulerState
+import org.anvilbarrow.protocol.model.SchedulerId
+import org.anvilbarrow.protocol.peer.PeerMessage
 import org.http4k.routing.RoutingHttpHandler
 import java.net.InetSocketAddress
 import java.time.Duration
@@ -55,6 +58,8 @@
     private val identity =
         SchedulerIdentity(settings.id, clock.instant().toEpochMilli(), settings.region, settings.failureDomain)
     private val metrics = SchedulerMetrics(settings.region, settings.peers)
+    private val tracing = Tracing(settings.spans)
+    private val homeSpans = HomeSpans(tracing)
     private val upstreams = HttpUpstreamClient()
     private val logClient = HttpLogClient(settings.logUrl)
     private val vmList = HttpVmListClient(settings.vmListUrl)
@@ -64,8 +69,8 @@
     private val appendThread = trafficThreads("log-append", 1)
     private val stopped = CountDownLatch(1)
 
-    private val exchanges = Exchanges(clock, metrics, { loop.offer(it) }, { loop.post(it) })
-    private val tasks = TaskRunner(upstreams, clock, exchanges, metrics, taskThreads) { loop.post(it) }
+    private val exchanges = Exchanges(clock, metrics, tracing, { loop.offer(it) }, { loop.post(it) })
+    private val tasks = TaskRunner(upstreams, clock, exchanges, metrics, tracing, taskThreads) { loop.post(it) }
     private val leases = LeaseCaller(upstreams, leaseThreads, suspectThreads) { loop.post(it) }
     private val logFollower = LogFollower(logClient, { loop.state.catalog.nextOffset }) { loop.post(it) }
     private val peers =
@@ -77,6 +82,7 @@
             metrics,
             clock,
         ) { from, message ->
+            homeSpans.received(from, message)
             // A lost message is sent again by the kernel; a blocked peer thread would delay heartbeats.
             if (!loop.offer(Event.PeerMessageReceived(from, message))) metrics.dropped(from)
         }
@@ -85,7 +91,7 @@
             exchanges,
             tasks,
             leases,
-            peers::send,
+            ::sendToPeer,
             { payload -> appendThread.execute { logFollower.append(payload) } },
             stopped::countDown,
         )
@@ -147,6 +153,15 @@
         upstreams.close()
         logClient.close()
         vmList.close()
+        tracing.close()
+    }
+
+    private fun sendToPeer(
+        to: SchedulerId,
+        message: PeerMessage,
+    ) {
+        homeSpans.sent(to, message)
+        peers.send(to, message)
     }
 
     private fun notReadyBecause(): String? =
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/TaskRunner.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/TaskRunner.kt
@@ -7,6 +7,7 @@
 import org.anvilbarrow.adapters.platform.TaskStart
 import org.anvilbarrow.adapters.platform.UpstreamClient
 import org.anvilbarrow.adapters.telemetry.SchedulerMetrics
+import org.anvilbarrow.adapters.telemetry.Tracing
 import org.anvilbarrow.kernel.core.Effect
 import org.anvilbarrow.kernel.core.Event
 import org.anvilbarrow.protocol.peer.Grant
@@ -26,6 +27,7 @@
     private val clock: InstantSource,
     private val exchanges: Exchanges,
     private val metrics: SchedulerMetrics,
+    private val tracing: Tracing,
     private val threads: Executor,
     private val post: (Event) -> Unit,
 ) {
@@ -94,16 +96,23 @@
         val body = exchange.takeBody() ?: return TaskResult.LOST
         val now = clock.instant()
         if (run.primary) metrics.started(effect.workload, Duration.between(exchange.arrivedAt, now))
+        val hop = tracing.start("task", effect.traceparent).note("upstream", run.grant.upstream.value)
         val start =
             TaskStart(
                 effect.workload,
                 effect.requestId,
-                effect.traceparent,
+                hop.traceparent,
                 timeLeft(now, effect.deadline),
                 body,
                 exchange.bodyBytes,
             )
-        return client.startTask(run.grant, start) { answer -> relay(run, exchange, answer) }
+        var result = TaskResult.LOST
+        try {
+            result = client.startTask(run.grant, start) { answer -> relay(run, exchange, answer) }
+        } finally {
+            hop.end(result.name.lowercase())
+        }
+        return result
     }
 
     /** The kernel ends the exchange at the deadline, but an answer that has started may go on after it. */
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/process/TaskRunnerTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/process/TaskRunnerTest.kt
@@ -6,7 +6,9 @@
 import org.anvilbarrow.adapters.platform.TaskAnswer
 import org.anvilbarrow.adapters.platform.TaskStart
 import org.anvilbarrow.adapters.platform.UpstreamClient
+import org.anvilbarrow.adapters.settings.SpanChoice
 import org.anvilbarrow.adapters.telemetry.SchedulerMetrics
+import org.anvilbarrow.adapters.telemetry.Tracing
 import org.anvilbarrow.kernel.core.Effect
 import org.anvilbarrow.kernel.core.Event
 import org.anvilbarrow.protocol.model.ExchangeId
@@ -41,8 +43,9 @@
     private val events = LinkedBlockingQueue<Event>()
     private val client = ScriptedClient()
     private val metrics = SchedulerMetrics("lappi-a")
-    private val exchanges = Exchanges(clock, metrics, events::offer, events::put)
-    private val runner = TaskRunner(client, clock, exchanges, metrics, { it.run() }, events::put)
+    private val tracing = Tracing(SpanChoice.NONE)
+    private val exchanges = Exchanges(clock, metrics, tracing, events::offer, events::put)
+    private val runner = TaskRunner(client, clock, exchanges, metrics, tracing, { it.run() }, events::put)
 
     private data class Case(
         val name: String,
@@ -114,7 +117,7 @@
     /** Guards against a request that waits although the kernel never heard of it. */
     @Test
     fun `a request that does not fit in the event queue is refused`() {
-        val full = Exchanges(clock, metrics, { false }, events::put)
+        val full = Exchanges(clock, metrics, tracing, { false }, events::put)
         expectThat(full.handle(request(), RequestBody("x".byteInputStream(), 1)))
             .isA<CallerAnswer.Final>()
             .get { outcome }
--- a/scripts/local-cell.sh
+++ b/scripts/local-cell.sh
@@ -160,7 +160,8 @@
     deadline=$(date -u -d '+10 seconds' +%Y-%m-%dT%H:%M:%S.%3NZ)
     curl -sS -m 20 -w 'status %{http_code} after %{time_total} s\n' -D - \
         -H "Request-Id: ${REQUEST_ID:-local-$$-$RANDOM$RANDOM}" -H "Request-Issued-At: $now" \
-        -H "Request-Deadline: $deadline" -H "Request-Attempt: first" -d "${BODY:-hello}" \
+        -H "Request-Deadline: $deadline" -H "Request-Attempt: first" \
+        ${TRACEPARENT:+-H "traceparent: $TRACEPARENT"} -d "${BODY:-hello}" \
         "http://127.0.0.1:$(caller_port "${2:-1}")/v1/workloads/$1/requests"
 }
 
