--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/telemetry/SpanLog.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/telemetry/SpanLog.kt
@@ -25,7 +25,8 @@
                 .entries
                 .joinToString("") { (key, value) -> " ${key.key}=$value" }
         val micros = (span.endEpochNanos - span.startEpochNanos) / NANOS_PER_MICRO
-        return "span ${span.name} trace=${span.traceId} id=${span.spanId} parent=${span.parentSpanId} us=$micros$attributes"
+        val ids = "trace=${span.traceId} id=${span.spanId} parent=${span.parentSpanId}"
+        return "span ${span.name} $ids us=$micros$attributes"
     }
 
     private companion object {
