--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/resources/ChangeService.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/resources/ChangeService.kt
@@ -14,6 +14,7 @@
 import org.anvilbarrow.kernel.catalog.find
 import org.anvilbarrow.protocol.log.CatalogPayload
 import org.anvilbarrow.protocol.model.ResourceSpec
+import org.anvilbarrow.protocol.model.UpstreamId
 import org.anvilbarrow.protocol.model.UpstreamSpec
 import java.time.Instant
 import java.time.InstantSource
@@ -40,6 +41,8 @@
     private val clock: InstantSource,
     private val limits: ResourceLimits = ResourceLimits(),
     private val placementPolicies: Set<String> = emptySet(),
+    /** Told of an upstream that is about to be drained, so that new work on it stops before the log is read. */
+    private val onDrain: (UpstreamId) -> Unit = {},
 ) {
     /** Makes [change]; blocks until its outcome is known or [ResourceLimits.readBack] has passed. */
     public fun change(change: ChangeRequest): ChangeResult =
@@ -54,6 +57,7 @@
         change(changeId, ResourceKind.UPSTREAM, name) { catalog ->
             val upstream = catalog.find(ResourceKind.UPSTREAM, name)
             val spec = (upstream?.spec as? UpstreamSpec)?.copy(draining = draining)
+            if (draining && spec != null) onDrain(UpstreamId(name))
             ChangeRequest(changeId, ResourceKind.UPSTREAM, name, spec, upstream?.version)
         }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/CatalogLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/CatalogLimits.kt
@@ -11,6 +11,11 @@
     /** Most parts of a snapshot. */
     public const val MAX_SNAPSHOT_PARTS: Int = 4_096
 
-    /** Largest snapshot part, in bytes of JSON; a part has to fit into one peer frame of 64 KiB as well. */
-    public const val MAX_SNAPSHOT_PART_BYTES: Int = 32 * 1024
+    /**
+     * Largest snapshot part, in bytes of JSON.
+     *
+     * A page of the log may hold 500 parts and nothing else; with a third more for escaped quotes it has to stay under
+     * the 4 MiB that the log client reads. Parts of 32 KiB made such a page unreadable for good.
+     */
+    public const val MAX_SNAPSHOT_PART_BYTES: Int = 6 * 1024
 }
