Start every watch with a progress line

The server sends the head of an answer with its first bytes, so a client that opened a watch on a quiet cell waited up to 10 s for it.

--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/resources/WatchStream.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/resources/WatchStream.kt
@@ -20,7 +20,9 @@
     private val onClosed: () -> Unit,
 ) : InputStream() {
     private var next = from
-    private var lines = ByteArray(0)
+
+    // The server sends the head of its answer with the first line, and a client waits for it.
+    private var lines = encode(listOf(WatchLine(WatchLineType.PROGRESS, from)))
     private var position = 0
     private var ended = false
     private var closed = false
@@ -84,7 +86,7 @@
     }
 
     private fun put(added: List<WatchLine>): Boolean {
-        lines = added.joinToString("") { strictJson.encodeToString(WatchLine.serializer(), it) + "\n" }.toByteArray()
+        lines = encode(added)
         position = 0
         lastLineAt = clock.instant()
         return true
@@ -92,5 +94,8 @@
 
     private companion object {
         const val BYTE_MASK = 0xFF
+
+        fun encode(lines: List<WatchLine>): ByteArray =
+            lines.joinToString("") { strictJson.encodeToString(WatchLine.serializer(), it) + "\n" }.toByteArray()
     }
 }
--- a/adapters/src/test/kotlin/org/anvilbarrow/adapters/resources/ResourceRoutesTest.kt
+++ b/adapters/src/test/kotlin/org/anvilbarrow/adapters/resources/ResourceRoutesTest.kt
@@ -39,7 +39,10 @@
         ): Response =
             handler(headers.fold(Request(method, path).body(body)) { r, (name, value) -> r.header(name, value) })
 
-        fun watch(from: Long): BufferedReader = call(Method.GET, "/v1/watch?from=$from").body.stream.bufferedReader()
+        fun watch(from: Long): BufferedReader =
+            call(Method.GET, "/v1/watch?from=$from").body.stream.bufferedReader().also { opened ->
+                expectThat(opened.lines(1).single()).isEqualTo(WatchLine(WatchLineType.PROGRESS, from))
+            }
     }
 
     private val scheduler = Scheduler()
--- a/adapters/src/test/kotlin/org/anvilbarrow/adapters/resources/ResourceServerTest.kt
+++ b/adapters/src/test/kotlin/org/anvilbarrow/adapters/resources/ResourceServerTest.kt
@@ -87,7 +87,7 @@
                             other.call("PUT", "/v1/regions/lappi-a", """{"homeShards":["s"]}"""),
                         )
                     expectThat(answers).containsExactly(200, 200, 200, 200)
-                    expectThat(List(4) { watch.next().name }).containsExactly("s", "u", "u", "lappi-a")
+                    expectThat(List(5) { watch.next().name }).containsExactly(null, "s", "u", "u", "lappi-a")
                     expectThat(drains).containsExactly(UpstreamId("u"))
                 }
             }
