--- a/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/Main.kt
+++ b/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/Main.kt
@@ -40,6 +40,7 @@
     private val seconds by option(help = "time in which requests arrive").long().default(DEFAULT_SECONDS)
     private val seed by option(help = "seed of the arrivals").int().default(1)
     private val idle by option(help = "sizes of idle cells, in upstreams").int().multiple()
+    private val upstreams by option(help = "size of a cell of two years from now, instead of the user's cell").int()
     private val json by option(help = "file for the report").path()
 
     override fun run() {
@@ -63,7 +64,8 @@
     }
 
     private fun shapeOf(mix: WorkloadMix): CellShape =
-        if (mix === tuulivarjoMix) CellShape.TUULIVARJO else CellShape.PRAIRIE
+        upstreams?.let { CellShape.inTwoYears(it) }
+            ?: if (mix === tuulivarjoMix) CellShape.TUULIVARJO else CellShape.PRAIRIE
 
     private fun idleShape(upstreams: Int): CellShape =
         if (upstreams == CellShape.TUULIVARJO.upstreams) CellShape.TUULIVARJO else CellShape.inTwoYears(upstreams)
--- a/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/baseline/BaselineSimulation.kt
+++ b/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/baseline/BaselineSimulation.kt
@@ -64,7 +64,11 @@
         region: Region,
         upstream: BaselineUpstream,
     ) {
-        while (upstream.queue.firstOrNull()?.resources?.fitsIn(upstream.free) == true) {
+        while (upstream.queue
+                .firstOrNull()
+                ?.resources
+                ?.fitsIn(upstream.free) == true
+        ) {
             start(region, upstream, upstream.queue.removeFirst())
         }
     }
--- a/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/report/RunReport.kt
+++ b/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/report/RunReport.kt
@@ -13,6 +13,8 @@
 @Serializable
 internal data class RunReport(
     val user: String,
+    val cell: String,
+    val upstreams: Int,
     val scheduler: String,
     val load: Double,
     val fault: String,
--- a/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/report/Runs.kt
+++ b/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/report/Runs.kt
@@ -29,6 +29,8 @@
     val cost = simulation.network.cost.since(before)
     return RunReport(
         user = scenario.mix.name,
+        cell = scenario.shape.name,
+        upstreams = scenario.shape.upstreams,
         scheduler = ANVILBARROW,
         load = scenario.load,
         fault = scenario.fault.label,
@@ -51,6 +53,8 @@
     simulation.run(arrivals(scenario.arrivalPlan, simulation.cell))
     return RunReport(
         user = scenario.mix.name,
+        cell = scenario.shape.name,
+        upstreams = scenario.shape.upstreams,
         scheduler = baseline.label,
         load = scenario.load,
         fault = scenario.fault.label,
--- a/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/report/Tables.kt
+++ b/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/report/Tables.kt
@@ -30,12 +30,22 @@
 private fun controlTable(runs: List<RunReport>): String {
     if (runs.isEmpty()) return ""
     val header =
-        listOf("user", "load", "fault", "placements", "request msgs/pl", "request B/pl", "all msgs/pl", "all B/pl") +
+        listOf(
+            "user",
+            "upstreams",
+            "load",
+            "fault",
+            "placements",
+            "request msgs/pl",
+            "request B/pl",
+            "all msgs/pl",
+            "all B/pl",
+        ) +
             listOf("cross-region B/pl", "cross-region B/s", "log appends", "overcommits", "repeats")
     val rows =
         runs.mapNotNull { run ->
             val control = run.control ?: return@mapNotNull null
-            listOf(run.user, format(run.load), run.fault, control.placements.toString()) +
+            listOf(run.user, run.upstreams.toString(), format(run.load), run.fault, control.placements.toString()) +
                 listOf(
                     control.requestMessagesPerPlacement,
                     control.requestBytesPerPlacement,
--- a/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/simulation/FakeUpstream.kt
+++ b/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/simulation/FakeUpstream.kt
@@ -49,9 +49,12 @@
     /** Starts a task, or returns false if its instruction is out of date. */
     fun start(grant: Grant): Boolean {
         val isCurrent =
-            holder != null && timeline.nowMicros < leaseEndMicros &&
-                grant.leaseEpoch == epoch && grant.upstreamIncarnation == INCARNATION &&
-                clockMillis <= grant.startByUpstreamMillis && grant.task !in running
+            holder != null &&
+                timeline.nowMicros < leaseEndMicros &&
+                grant.leaseEpoch == epoch &&
+                grant.upstreamIncarnation == INCARNATION &&
+                clockMillis <= grant.startByUpstreamMillis &&
+                grant.task !in running
         if (!isCurrent) return false
         running[grant.task] = grant.resources
         used += grant.resources
