Fix races that showed as flaky tests on a busy machine

- A port that is told to refuse connections could accept one more, which then stayed silent: Jetty's acceptor still waits in accept while the port closes.
The switch now returns only once a connection is refused.
- A restarted upstream could answer that a task was stopped before its connections were closed.
The connections are now closed first.
- The fixture's idle time of 300 ms closed a connection before Jetty had opened it, in 1 of 12 fresh JVMs.
Only the test about idle connections sets a short idle time now.

--- a/adapters/src/test/kotlin/org/anvilbarrow/adapters/platform/HttpUpstreamClientTest.kt
+++ b/adapters/src/test/kotlin/org/anvilbarrow/adapters/platform/HttpUpstreamClientTest.kt
@@ -42,6 +42,7 @@
         body: InputStream = "{}".byteInputStream(),
         traceparent: String? = null,
         bodyBytes: Long? = 2,
+        client: UpstreamClient = this.client,
         onAnswer: (TaskAnswer) -> Unit = { it.body.readAllBytes() },
     ): TaskResult {
         val start = TaskStart("w", "r1", traceparent, Duration.ofSeconds(20), body, bodyBytes)
@@ -147,6 +148,16 @@
         expectThat(check).isA<AnswerCheck.Whole>().get { bodyBytes }.isEqualTo(firstLine.length + (64L shl 20))
     }
 
+    /** A connection is idle while a task runs. Jetty also closes one that takes longer than the idle time to open. */
+    @Test
+    fun `waits for an answer for longer than the idle time of connections`() {
+        HttpUpstreamClient(UpstreamFixture.limits.copy(idleTimeout = Duration.ofSeconds(1))).use { client ->
+            val body = """{"runMillis": 2000}"""
+            val result = start(body = body.byteInputStream(), bodyBytes = body.length.toLong(), client = client)
+            expectThat(result).isEqualTo(TaskResult.ANSWERED)
+        }
+    }
+
     @Test
     fun `stops a running task`() {
         val task = TaskId("a 1")
--- a/adapters/src/test/kotlin/org/anvilbarrow/adapters/platform/TaskResultTest.kt
+++ b/adapters/src/test/kotlin/org/anvilbarrow/adapters/platform/TaskResultTest.kt
@@ -53,7 +53,6 @@
     listOf(
         Case("a whole answer", TaskResult.ANSWERED),
         Case("a whole answer in chunks", TaskResult.ANSWERED, body = LONG_CHUNKS),
-        Case("an answer after the idle time of connections", TaskResult.ANSWERED, body = """{"runMillis": 700}"""),
         Case("a failing upstream", TaskResult.FAILED, failTasks = true),
         Case("a failing task", TaskResult.FAILED, body = """{"fail": true}"""),
     )
--- a/adapters/src/test/kotlin/org/anvilbarrow/adapters/platform/UpstreamFixture.kt
+++ b/adapters/src/test/kotlin/org/anvilbarrow/adapters/platform/UpstreamFixture.kt
@@ -67,7 +67,6 @@
             PlatformClientLimits(
                 connectTimeout = Duration.ofSeconds(5),
                 leaseTimeout = Duration.ofSeconds(5),
-                idleTimeout = Duration.ofMillis(300),
                 maxLeaseReplyBytes = MAX_REPLY_BYTES,
             )
     }
--- a/standins/src/main/kotlin/org/anvilbarrow/standins/http/StandInServer.kt
+++ b/standins/src/main/kotlin/org/anvilbarrow/standins/http/StandInServer.kt
@@ -8,6 +8,9 @@
 import org.http4k.core.HttpHandler
 import org.http4k.server.Http4kJettyHttpHandler
 import java.io.IOException
+import java.net.ConnectException
+import java.net.InetSocketAddress
+import java.net.Socket
 
 /**
  * Serves [routes] on a loopback data port and on a control port, and applies [ConnectionFaults] to the data port.
@@ -50,11 +53,11 @@
         val listen = next.down != DownMode.REFUSE
         return try {
             if (listen && !data.isRunning) data.start()
-            if (!listen && data.isRunning) data.stop()
+            if (!listen && data.isRunning) stopListening()
             faults = next
             null
         } catch (e: IOException) {
-            "port ${data.port} cannot be opened again: ${e.message}"
+            "port ${data.port} cannot be opened or closed: ${e.message}"
         }
     }
 
@@ -66,6 +69,23 @@
         server.stop()
     }
 
+    /** A blocked acceptor can take one more connection after the stop, which would then stay silent. */
+    private fun stopListening() {
+        data.stop()
+        repeat(MAX_PROBES) { if (refusesConnections()) return }
+        throw IOException("the port still accepts connections")
+    }
+
+    private fun refusesConnections(): Boolean =
+        try {
+            Socket().use { it.connect(InetSocketAddress(LOOPBACK, data.port), PROBE_MILLIS) }
+            false
+        } catch (_: ConnectException) {
+            true
+        } catch (_: IOException) {
+            false
+        }
+
     private fun connector(port: Int): ServerConnector {
         val http = HttpConnectionFactory(HttpConfiguration().apply { sendServerVersion = false })
         return ServerConnector(server, ACCEPTORS, SELECTORS, http).apply {
@@ -86,6 +106,8 @@
         /** Every running task holds a thread; the stand-in does not refuse an overfill of its 64 connections. */
         const val MAX_THREADS = 512
         const val MIN_THREADS = 4
+        const val MAX_PROBES = 100
+        const val PROBE_MILLIS = 100
 
         fun threadPool(name: String) =
             QueuedThreadPool(MAX_THREADS, MIN_THREADS).apply {
--- a/standins/src/main/kotlin/org/anvilbarrow/standins/upstream/UpstreamStandIn.kt
+++ b/standins/src/main/kotlin/org/anvilbarrow/standins/upstream/UpstreamStandIn.kt
@@ -79,9 +79,9 @@
 
     /** Restarts the upstream under a new incarnation; its tasks and its connections end. */
     public fun restart() {
+        server.closeConnections() // First, so that tasks cannot answer that they were stopped.
         model.restart(nextIncarnation())
         model.leaving = faults.leaving
-        server.closeConnections()
     }
 
     override fun close() {
