--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/policy/PolicyRegistry.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/policy/PolicyRegistry.kt
@@ -42,6 +42,9 @@
         /** Returns the placement policy on the class path that [workload] selects, or the default of its kind. */
         public fun placementOf(workload: WorkloadSpec): PlacementLookup = installed.placementOf(workload)
 
+        /** Names of the placement policies on the class path. */
+        public val placementNames: Set<String> get() = installed.placements.keys
+
         /** Returns the name of the placement policy of workloads of [kind] that select none. */
         public fun defaultPlacementName(kind: WorkloadKind): String =
             when (kind) {
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/SchedulerProcess.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/process/SchedulerProcess.kt
@@ -8,7 +8,9 @@
 import org.anvilbarrow.adapters.platform.HttpLogClient
 import org.anvilbarrow.adapters.platform.HttpUpstreamClient
 import org.anvilbarrow.adapters.platform.HttpVmListClient
-import org.anvilbarrow.adapters.platform.LogClient
+import org.anvilbarrow.adapters.resources.CatalogView
+import org.anvilbarrow.adapters.resources.ChangeService
+import org.anvilbarrow.adapters.resources.ResourceRoutes
 import org.anvilbarrow.adapters.settings.SchedulerSettings
 import org.anvilbarrow.adapters.telemetry.SchedulerMetrics
 import org.anvilbarrow.adapters.telemetry.Tracing
@@ -16,10 +18,9 @@
 import org.anvilbarrow.kernel.core.Kernel
 import org.anvilbarrow.kernel.core.KernelLimits
 import org.anvilbarrow.kernel.core.SchedulerIdentity
-import org.anvilbarrow.kernel.core.SchedulerState
+import org.anvilbarrow.kernel.policy.PolicyRegistry
 import org.anvilbarrow.protocol.model.SchedulerId
 import org.anvilbarrow.protocol.peer.PeerMessage
-import org.http4k.routing.RoutingHttpHandler
 import java.net.InetSocketAddress
 import java.time.Duration
 import java.time.InstantSource
@@ -28,18 +29,6 @@
 
 private val log = KotlinLogging.logger("anvilbarrow.process")
 
-/** What further HTTP routes of a scheduler may use. */
-public class SchedulerAccess internal constructor(
-    /** Client of the platform's log. */
-    public val logClient: LogClient,
-    /** Clock of the scheduler. */
-    public val clock: InstantSource,
-    private val current: () -> SchedulerState,
-) {
-    /** State after the last event that the kernel handled. */
-    public val state: SchedulerState get() = current()
-}
-
 /**
  * One scheduler: the kernel on its control thread and the adapters around it.
  *
@@ -52,7 +41,6 @@
     private val settings: SchedulerSettings,
     private val clock: InstantSource = MonotonicClock(),
     private val limits: KernelLimits = KernelLimits(),
-    private val moreRoutes: (SchedulerAccess) -> List<RoutingHttpHandler> = { emptyList() },
 ) : AutoCloseable {
     private val process = settings.process
     private val identity =
@@ -102,6 +90,8 @@
             vmList.list()?.let { loop.post(Event.VmListRead(it)) }
             false
         }
+    private val catalogView = CatalogView(logClient, clock, { loop.state.catalog })
+    private val resources = ResourceRoutes(changes(), catalogView, clock)
     private val server =
         CallerServer(
             InetSocketAddress.createUnresolved(settings.caller.host, settings.caller.port),
@@ -110,7 +100,7 @@
                 ::notReadyBecause,
                 metrics,
                 settings.callerLimits,
-                moreRoutes(SchedulerAccess(logClient, clock) { loop.state }),
+                resources.routes,
             ).handler(),
             settings.callerLimits,
         )
@@ -137,6 +127,7 @@
         loop.post(Event.StopRequested)
         val completed = stopped.await(process.stopGrace.toMillis(), TimeUnit.MILLISECONDS)
         if (!completed) log.warn { "The hand-over did not complete within ${process.stopGrace}." }
+        resources.close()
         server.stop(maxOf(Duration.between(clock.instant(), deadline), MIN_SERVER_GRACE))
         close()
         log.info { "Scheduler ${settings.id} has stopped." }
@@ -144,6 +135,7 @@
     }
 
     override fun close() {
+        resources.close()
         server.close()
         logPoller.close()
         vmListPoller.close()
@@ -171,6 +163,9 @@
             else -> null
         }
 
+    private fun changes() =
+        ChangeService(logClient, vmList, catalogView, clock, placementPolicies = PolicyRegistry.placementNames)
+
     private fun controlLoop(): ControlLoop {
         val kernel = Kernel(limits)
         val start = kernel.start(identity, settings.peers.map { it.id }, clock.instant())
