--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/CellAudit.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/CellAudit.kt
@@ -28,6 +28,12 @@
         return overfilled + runs
     }
 
+    /** Returns the requests that were refused as not run although an upstream started them. */
+    fun refusedButRan(seen: List<Seen>): List<String> =
+        seen
+            .filter { it.outcome == REFUSED && it.requestId in starts }
+            .map { "${it.requestId} was refused as not run but ran" }
+
     /** Returns a fault if [upstream] started tasks after [limit]. */
     fun startsAfter(
         upstream: UpstreamId,
@@ -42,4 +48,8 @@
         val first = starts[seen.requestId]?.minOf { it.startedAtUpstreamMillis } ?: return seen
         return seen.copy(wait = Duration.between(seen.sentAt, Instant.ofEpochMilli(first)).coerceAtLeast(Duration.ZERO))
     }
+
+    private companion object {
+        const val REFUSED = "refused"
+    }
 }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/Quickstart.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/quickstart/Quickstart.kt
@@ -38,10 +38,13 @@
             val after = wave(cell, PER_WAVE)
             val stopped = cell.stopSchedulers()
             val audit = CellAudit(cell.upstreams.mapValues { it.value.model.audit() })
-            val faults = audit.faults(GANG, GANG_TASKS) + audit.startsAfter(DRAINED, drainedAt.plus(DRAIN_LIMIT))
+            val seen = before + during + after
+            val faults =
+                audit.faults(GANG, GANG_TASKS) + audit.refusedButRan(seen) +
+                    audit.startsAfter(DRAINED, drainedAt.plus(DRAIN_LIMIT))
             val stopFault = if (stopped) emptyList() else listOf("a scheduler did not hand everything over")
             callers.shutdownNow()
-            QuickstartReport((before + during + after).map(audit::withWait), faults + stopFault, GANG, GANG_TASKS)
+            QuickstartReport(seen.map(audit::withWait), faults + stopFault, GANG, GANG_TASKS)
         }
 
     private fun declareAll(cell: Cell) {
