--- a/ctl/src/main/kotlin/org/anvilbarrow/ctl/Commands.kt
+++ b/ctl/src/main/kotlin/org/anvilbarrow/ctl/Commands.kt
@@ -27,11 +27,8 @@
 
 internal class AnvilCtl : CliktCommand(name = "anvilctl") {
     private val servers by option("--server", envvar = "ANVILCTL_SERVERS", metavar = "URL", help = SERVER_HELP)
-        .convert { text ->
-            val uri = runCatching { URI(text) }.getOrNull()
-            if (uri?.scheme != "http" || uri.host == null) fail("\"$text\" is no address like http://10.0.0.1:8080")
-            uri
-        }.multiple(default = listOf(URI("http://127.0.0.1:8080")))
+        .convert { text -> text.trim().split(spaces).map { serverAddress(it) ?: fail("\"$it\" is no $ADDRESS_FORM") } }
+        .multiple(default = listOf(listOf(URI("http://127.0.0.1:8080"))))
 
     override fun help(context: Context) =
         """
@@ -42,10 +39,15 @@
         """.trimIndent()
 
     override fun run() {
-        currentContext.obj = Session(Servers(servers))
+        currentContext.obj = Session(Servers(servers.flatten()))
     }
 
+    private fun serverAddress(text: String): URI? =
+        runCatching { URI(text) }.getOrNull()?.takeIf { it.scheme == "http" && it.host != null }
+
     private companion object {
+        val spaces = Regex("\\s+")
+        const val ADDRESS_FORM = "address like http://10.0.0.1:8080"
         const val SERVER_HELP = "A scheduler; may be given several times, and the next is tried if one does not answer"
     }
 }
