--- a/ctl/src/test/kotlin/org/anvilbarrow/ctl/AnvilCtlTest.kt
+++ b/ctl/src/test/kotlin/org/anvilbarrow/ctl/AnvilCtlTest.kt
@@ -56,7 +56,9 @@
             val result = anvilCtl().test(servers + listOf("get", "teams", "a"))
             expectThat(result.output).isEqualTo("NAME  VERSION  WEIGHT\na     7        3\n")
             val environment = mapOf("ANVILCTL_SERVERS" to "${closed.url} ${cell.url}")
-            expectThat(anvilCtl().test(listOf("get", "teams", "a"), envvars = environment).output).isEqualTo(result.output)
+            expectThat(
+                anvilCtl().test(listOf("get", "teams", "a"), envvars = environment).output,
+            ).isEqualTo(result.output)
         }
         refusing.close()
         val result = run(closed, "get", "teams", "a")
