Close four gaps that the proofs found, and place a retry elsewhere

Causes and changes: - P4, REORDERING: a home refused a copy (issue time ahead) and ran another 184 ms later, before the refusal was read. A refused id now stays refused for 2 s. - P6, case 17: only one scheduler read that a VM leaves; a task started on it 3,395 ms later. Heartbeats now name the upstreams their sender knows to be leaving. - P4, trial: a scheduler that had lost its office vouched for an id. The memory of ids is now needed for idempotent work too, unless the caller sent no other copy. - After kill -9 of an upstream 7 of 20 requests ended as upstream_refused (process trial): a retry now avoids the upstreams of earlier rounds. - A new home announces itself at once instead of with its next heartbeat. Measured: kernel tests 2 failures of 175 before, 0 after, 107 s.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/Kernel.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/Kernel.kt
@@ -11,6 +11,7 @@
 import org.anvilbarrow.kernel.home.HomeRequests
 import org.anvilbarrow.kernel.home.HomeState
 import org.anvilbarrow.kernel.home.Placer
+import org.anvilbarrow.kernel.home.Refusals
 import org.anvilbarrow.kernel.ingress.Execution
 import org.anvilbarrow.kernel.ingress.Ingress
 import org.anvilbarrow.kernel.ingress.IngressState
@@ -44,7 +45,7 @@
         return SchedulerState(
             self = self,
             membership = MembershipState(now, peers.toPersistentList()),
-            home = HomeState(requestChecks = DueTimes.startingAt(now), idExpiry = DueTimes.startingAt(now)),
+            home = HomeState.startingAt(now),
             ingress = IngressState(checks = DueTimes.startingAt(now)),
             sync = CatalogSyncState(logAnsweredAt = now, schedule = SnapshotSchedule(seenAt = now)),
         )
@@ -104,6 +105,7 @@
         LeaseKeeper.onTick(turn)
         Handover.onTick(turn)
         HomeRequests.onTick(turn)
+        Refusals.onTick(turn)
         Dispatcher.expireReservations(turn)
         Ingress.onTick(turn)
         turn.dispatchNeeded = true
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/KernelLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/KernelLimits.kt
@@ -27,6 +27,8 @@
     val handoverDelay: Duration = Duration.ofSeconds(5),
     /** How long a home remembers a request id after its issue time. */
     val idRetention: Duration = Duration.ofMinutes(5),
+    /** How long a refused id stays refused; callers are told to come back after this time at the earliest. */
+    val refusalRetention: Duration = Duration.ofSeconds(2),
     /** How far the issue time of a request may lie in the home's future. */
     val issuedAhead: Duration = Duration.ofSeconds(1),
     /** Largest difference between the clocks of two schedulers. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/HomeDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/HomeDesk.kt
@@ -34,13 +34,7 @@
                 spec == null || shard == null -> refused(RefusalReason.UNKNOWN_WORKLOAD)
                 !isHome(turn, shard) -> refused(RefusalReason.NOT_HOME, turn.limits.leaseTtl.toMillis())
                 known != null -> null
-                else ->
-                    rejection(
-                        turn,
-                        shard,
-                        place,
-                        spec,
-                    )?.let { HomeRequests.truthful(turn, shard, place.request, it) }
+                else -> rememberedRefusal(turn, place) ?: firstRejection(turn, shard, place, spec)
             }
         if (outcome != null) {
             if (known != null) HomeRequests.remove(turn, known)
@@ -69,6 +63,26 @@
             turn.state.home.offices[shard]
                 ?.isValid(turn.now) == true
 
+    private fun rememberedRefusal(
+        turn: Turn,
+        place: PeerMessage.Place,
+    ): Outcome? =
+        turn.state.home.refusals[place.request.id]
+            ?.outcome
+
+    /** Returns why a request is not accepted, or null; a refusal is remembered for the copies that follow at once. */
+    private fun firstRejection(
+        turn: Turn,
+        shard: ShardId,
+        place: PeerMessage.Place,
+        spec: WorkloadSpec,
+    ): Outcome? {
+        val rejection = rejection(turn, shard, place, spec) ?: return null
+        val outcome = HomeRequests.truthful(turn, shard, place.request, rejection)
+        if (outcome is Outcome.Refused) Refusals.remember(turn, place.request.id, outcome)
+        return outcome
+    }
+
     /** Returns why a request that arrives for the first time is not accepted, or null if it is. */
     private fun rejection(
         turn: Turn,
@@ -93,7 +107,7 @@
         spec: WorkloadSpec,
     ): Outcome? {
         val issuedAt = Instant.ofEpochMilli(place.request.issuedAtEpochMillis)
-        val isMemoryNeeded = !spec.idempotent
+        val isMemoryNeeded = !spec.idempotent || !place.request.firstAttempt
         return when {
             place.request.id in office.issuedAt -> Outcome.Unknown(UnknownReason.DUPLICATE)
             issuedAt > turn.now + turn.limits.issuedAhead -> refused(RefusalReason.ISSUED_IN_FUTURE)
@@ -133,8 +147,17 @@
         shard: ShardId,
     ) {
         val issuedAt = Instant.ofEpochMilli(place.request.issuedAtEpochMillis)
+        val known = turn.state.home.requests[key]
         val request =
-            HomeRequest(key, place.request, shard, place.round, turn.now, HomeRequest.Phase.Queued)
+            HomeRequest(
+                key,
+                place.request,
+                shard,
+                place.round,
+                turn.now,
+                HomeRequest.Phase.Queued,
+                avoid = known?.triedUpstreams().orEmpty(),
+            )
         val earlier =
             turn.state.home.requests[key]
                 ?.phase
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/HomeOffices.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/HomeOffices.kt
@@ -1,6 +1,7 @@
 package org.anvilbarrow.kernel.home
 
 import org.anvilbarrow.kernel.core.Turn
+import org.anvilbarrow.kernel.membership.Membership
 import org.anvilbarrow.protocol.model.ShardId
 import org.anvilbarrow.protocol.peer.AnchorLease
 import java.time.Instant
@@ -77,7 +78,10 @@
             turn.state.home.offices[shard]
                 ?.isValid(turn.now) != true
         turn.updateHome { copy(offices = offices.put(shard, office)) }
-        if (isNew) useReceivedMemory(turn, shard)
+        if (!isNew) return
+        useReceivedMemory(turn, shard)
+        // Requests wait at their ingresses until they hear of their home.
+        Membership.sendHeartbeats(turn)
     }
 
     private fun anchors(
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/HomeRequest.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/HomeRequest.kt
@@ -6,6 +6,7 @@
 import org.anvilbarrow.protocol.model.SchedulerId
 import org.anvilbarrow.protocol.model.ShardId
 import org.anvilbarrow.protocol.model.TaskId
+import org.anvilbarrow.protocol.model.UpstreamId
 import org.anvilbarrow.protocol.model.WorkRequest
 import org.anvilbarrow.protocol.peer.Grant
 import java.time.Instant
@@ -26,7 +27,15 @@
     val phase: Phase,
     /** Not dispatched before this moment; set after a gang could not reserve all it needs. */
     val notBefore: Instant = Instant.EPOCH,
+    /** Upstreams on which an earlier round of this request failed. */
+    val avoid: Set<UpstreamId> = emptySet(),
 ) {
+    /** Returns the upstreams that this request should not be placed on again. */
+    fun triedUpstreams(): Set<UpstreamId> {
+        val granted = phase as? Phase.Granted ?: return avoid
+        return avoid + granted.grants.map { it.upstream }
+    }
+
     val deadline: Instant get() = Instant.ofEpochMilli(request.deadlineEpochMillis)
 
     /** How far the placement of a request has come. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/HomeRequests.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/HomeRequests.kt
@@ -108,7 +108,8 @@
             return outcome
         }
         val office = turn.state.home.offices[shard]
-        val isMemoryComplete = office != null && request.issuedAtEpochMillis >= office.completeSince.toEpochMilli()
+        val isMemoryComplete =
+            office?.isValid(turn.now) == true && request.issuedAtEpochMillis >= office.completeSince.toEpochMilli()
         return if (isMemoryComplete) outcome else Outcome.Unknown(UnknownReason.MEMORY_LOST, outcome.retryAfterMillis)
     }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/HomeState.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/HomeState.kt
@@ -22,9 +22,21 @@
     val runTimes: RunTimes = RunTimes(),
     /** Memory of ids that arrived from an earlier home. */
     val received: PersistentMap<ShardId, ReceivedMemory> = persistentMapOf(),
+    /** Ids that were refused a moment ago. */
+    val refusals: PersistentMap<RequestId, RememberedRefusal> = persistentMapOf(),
+    val refusalExpiry: DueTimes<RequestId>,
     val requestChecks: DueTimes<PlacementKey>,
     val idExpiry: DueTimes<ExpiringId>,
-)
+) {
+    companion object {
+        fun startingAt(now: Instant): HomeState =
+            HomeState(
+                refusalExpiry = DueTimes.startingAt(now),
+                requestChecks = DueTimes.startingAt(now),
+                idExpiry = DueTimes.startingAt(now),
+            )
+    }
+}
 
 /** An id whose retention ends. */
 internal data class ExpiringId(
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/Placer.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/Placer.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.toPersistentSet
 import org.anvilbarrow.kernel.core.Turn
 import org.anvilbarrow.kernel.ledger.Grants
+import org.anvilbarrow.kernel.placement.Candidate
 import org.anvilbarrow.kernel.placement.candidatesIn
 import org.anvilbarrow.kernel.placement.openTo
 import org.anvilbarrow.kernel.placement.placementPolicyOf
@@ -105,12 +106,22 @@
         }
     }
 
+    /** An upstream on which the request failed before is used only if there is no other. */
+    private fun candidatesFor(
+        turn: Turn,
+        request: HomeRequest,
+        spec: WorkloadSpec,
+    ): List<Candidate> {
+        val all = turn.candidatesIn(spec.region, request.request.workload)
+        return all.filter { it.upstream !in request.avoid }.ifEmpty { all }
+    }
+
     private fun localChoice(
         turn: Turn,
         request: HomeRequest,
         spec: WorkloadSpec,
     ): List<UpstreamId> {
-        val candidates = turn.openTo(spec.urgency, turn.candidatesIn(spec.region, request.request.workload))
+        val candidates = turn.openTo(spec.urgency, candidatesFor(turn, request, spec))
         if (candidates.isEmpty()) return emptyList()
         if (spec.tasks == 1) {
             return listOfNotNull(placementPolicyOf(spec).choose(spec.resources, candidates))
@@ -156,7 +167,10 @@
                     .getValue(owner)
                     .heartbeat.region
             notePeerUse(turn, owner, spec)
-            turn.send(owner, PeerMessage.Reserve(task, request.request.workload, region, spec.resources))
+            turn.send(
+                owner,
+                PeerMessage.Reserve(task, request.request.workload, region, spec.resources, request.avoid.toList()),
+            )
         }
     }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/membership/Membership.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/membership/Membership.kt
@@ -34,7 +34,11 @@
         vms: List<VmEntry>,
     ) {
         val leaving = vms.filter { it.state == VmState.LEAVING }.map { UpstreamId(it.name) }
+        val isNew =
+            !turn.state.membership.leavingVms
+                .containsAll(leaving)
         turn.updateMembership { copy(leavingVms = leaving.toPersistentSet()) }
+        if (isNew) sendHeartbeats(turn)
     }
 
     fun onDrainNotice(
@@ -102,9 +106,20 @@
             homeOf = state.homeShards(turn.now),
             free = turn.freeCapacity(),
             appliedOffset = state.catalog.appliedOffset,
+            leaving = leavingFirstHand(turn),
         )
     }
 
+    /** What peers reported is left out, as it would be passed around for good. */
+    private fun leavingFirstHand(turn: Turn): List<UpstreamId> {
+        val state = turn.state
+        val leased =
+            state.lease.leases
+                .filterValues { it.leaving }
+                .keys
+        return (state.membership.leavingVms + leased).sorted()
+    }
+
     private fun forgetOldNotices(turn: Turn) {
         val old =
             turn.state.membership.drainNotices
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/placement/Candidates.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/placement/Candidates.kt
@@ -53,7 +53,9 @@
     spec.draining ||
         lease.leaving ||
         upstream in state.membership.leavingVms ||
-        upstream in state.membership.drainNotices
+        upstream in state.membership.drainNotices ||
+        state.membership.peers.values
+            .any { upstream in it.heartbeat.leaving && it.isLive(now, limits.peerTimeout) }
 
 private fun Turn.takesWork(
     upstream: UpstreamId,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/queue/AdmissionPolicy.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/queue/AdmissionPolicy.kt
@@ -38,7 +38,8 @@
 
 /** Refuses at once what a bounded queue cannot hold or what cannot start before its deadline. */
 public object DeadlineAdmission : AdmissionPolicy {
-    private val SHORTEST_RETRY: Duration = Duration.ofMillis(200)
+    /** The home gives copies of a refused id the same answer for this long. */
+    private val SHORTEST_RETRY: Duration = Duration.ofSeconds(2)
 
     override fun admit(view: AdmissionView): Admission {
         val retryAfter = maxOf(view.expectedWait, SHORTEST_RETRY)
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/peer/PeerMessage.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/peer/PeerMessage.kt
@@ -32,6 +32,8 @@
         val free: Resources,
         /** Offset after the last log record that the sender applied. */
         val appliedOffset: Long,
+        /** Upstreams that the sender itself knows to be leaving, from the VM list or from their lease replies. */
+        val leaving: List<UpstreamId> = emptyList(),
     ) : PeerMessage
 
     /** Asks the home of a request id to place the request; repeated with the same [exchange] until answered. */
