--- a/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/Main.kt
+++ b/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/Main.kt
@@ -26,6 +26,8 @@
 import org.anvilbarrow.benchmarks.workload.prairieMix
 import org.anvilbarrow.benchmarks.workload.sundayBatchMix
 import org.anvilbarrow.benchmarks.workload.tuulivarjoMix
+import org.anvilbarrow.kernel.core.KernelLimits
+import java.time.Duration
 import kotlin.io.path.writeText
 
 private val mixes = listOf(tuulivarjoMix, prairieMix, sundayBatchMix).associateBy { it.name }
@@ -41,6 +43,7 @@
     private val seed by option(help = "seed of the arrivals").int().default(1)
     private val idle by option(help = "sizes of idle cells, in upstreams").int().multiple()
     private val upstreams by option(help = "size of a cell of two years from now, instead of the user's cell").int()
+    private val gangPatienceMillis by option(help = "time that a gang waits before slots are held for it").long()
     private val json by option(help = "file for the report").path()
 
     override fun run() {
@@ -58,11 +61,16 @@
         mix: WorkloadMix,
         load: Double,
     ): List<RunReport> {
-        val scenario = Scenario(shapeOf(mix), mix, load, seed = seed, arrivalSeconds = seconds)
+        val scenario = Scenario(shapeOf(mix), mix, load, seed = seed, arrivalSeconds = seconds, limits = limits())
         return fault.ifEmpty { Fault.entries }.map { runKernels(scenario.copy(fault = it)) } +
             baseline.ifEmpty { Baseline.entries }.map { runBaseline(it, scenario) }
     }
 
+    private fun limits(): KernelLimits {
+        val limits = KernelLimits()
+        return gangPatienceMillis?.let { limits.copy(gangPatience = Duration.ofMillis(it)) } ?: limits
+    }
+
     private fun shapeOf(mix: WorkloadMix): CellShape =
         upstreams?.let { CellShape.inTwoYears(it) }
             ?: if (mix === tuulivarjoMix) CellShape.TUULIVARJO else CellShape.PRAIRIE
--- a/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/report/Runs.kt
+++ b/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/report/Runs.kt
@@ -17,7 +17,7 @@
 
 /** Runs the real kernels under [scenario]. */
 internal fun runKernels(scenario: Scenario): RunReport {
-    val simulation = CellSimulation(scenario.shape, scenario.mix)
+    val simulation = CellSimulation(scenario.shape, scenario.mix, limits = scenario.limits)
     val packing = Packing()
     val timeline = simulation.timeline
     simulation.offer(arrivals(scenario.arrivalPlan, simulation.cell))
--- a/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/simulation/Scenario.kt
+++ b/benchmarks/src/main/kotlin/org/anvilbarrow/benchmarks/simulation/Scenario.kt
@@ -3,6 +3,7 @@
 import org.anvilbarrow.benchmarks.cell.CellShape
 import org.anvilbarrow.benchmarks.workload.ArrivalPlan
 import org.anvilbarrow.benchmarks.workload.WorkloadMix
+import org.anvilbarrow.kernel.core.KernelLimits
 
 /** What fails in a run. */
 internal enum class Fault(
@@ -26,6 +27,7 @@
     val seed: Int = 1,
     /** Length of the time in which requests arrive. */
     val arrivalSeconds: Long = 60,
+    val limits: KernelLimits = KernelLimits(),
 ) {
     val endMicros: Long = (WARM_UP_SECONDS + arrivalSeconds) * MICROS_PER_SECOND
     val faultAtMicros: Long = (WARM_UP_SECONDS + arrivalSeconds / 3) * MICROS_PER_SECOND
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/KernelLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/core/KernelLimits.kt
@@ -35,12 +35,8 @@
     val schedulerClockBound: Duration = Duration.ofMillis(500),
     /** Interval after which an unanswered `Place` or `Reserve` is sent again or given up. */
     val peerReply: Duration = Duration.ofSeconds(1),
-    /**
-     * Slots that an owner keeps free for urgent tasks: others are placed only while more are free.
-     *
-     * This is the trunk reservation of F. P. Kelly, "Fixed Point Models of Loss Networks", 1989, section 5.
-     */
-    val urgentReserveSlots: Int = 0,
+    /** How long a gang waits before slots are held for it. */
+    val gangPatience: Duration = Duration.ofSeconds(6),
     /** How long an urgent request waits in its own region before it may run in another. */
     val urgentCrossing: Duration = Duration.ofMillis(200),
     /** The same for a request of normal urgency; deferrable ones never cross. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/Dispatcher.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/Dispatcher.kt
@@ -12,13 +12,25 @@
 
     /** Places what can be placed; a lane whose head cannot be placed is passed over. */
     fun dispatch(turn: Turn) {
-        val blocked = HashSet<String>()
+        val blocked = heldUp(turn).toHashSet()
         while (true) {
             val head = nextHead(turn, blocked) ?: return
             if (!Placer.place(turn, head.request, head.spec)) blocked += head.request.request.workload
         }
     }
 
+    /** Returns the lanes that wait while slots are held for a gang. */
+    private fun heldUp(turn: Turn): List<String> {
+        val gang = GangHold.workload(turn) ?: return emptyList()
+        return turn.state.home.queue.lanes.keys
+            .filter {
+                it != gang &&
+                    turn.state.catalog.workloads[it]
+                        ?.spec
+                        ?.urgency != Urgency.URGENT
+            }
+    }
+
     private fun nextHead(
         turn: Turn,
         blocked: Set<String>,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/Placer.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/Placer.kt
@@ -6,7 +6,6 @@
 import org.anvilbarrow.kernel.ledger.Grants
 import org.anvilbarrow.kernel.placement.Candidate
 import org.anvilbarrow.kernel.placement.candidatesIn
-import org.anvilbarrow.kernel.placement.openTo
 import org.anvilbarrow.kernel.placement.placementPolicyOf
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.SchedulerId
@@ -124,7 +123,7 @@
         request: HomeRequest,
         spec: WorkloadSpec,
     ): List<UpstreamId> {
-        val candidates = turn.openTo(spec.urgency, candidatesFor(turn, request, spec))
+        val candidates = candidatesFor(turn, request, spec)
         if (candidates.isEmpty()) return emptyList()
         if (spec.tasks == 1) {
             return listOfNotNull(placementPolicyOf(spec).choose(spec.resources, candidates))
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/placement/Candidates.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/placement/Candidates.kt
@@ -6,7 +6,6 @@
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.UpstreamId
 import org.anvilbarrow.protocol.model.UpstreamSpec
-import org.anvilbarrow.protocol.model.Urgency
 
 /** Returns the owned upstreams of [region] that may get new tasks of [workload] now. */
 internal fun Turn.candidatesIn(
@@ -22,21 +21,6 @@
         }
     }
 
-/** Returns those [candidates] that a task of [urgency] may use, given the slots that are kept for urgent ones. */
-internal fun Turn.openTo(
-    urgency: Urgency,
-    candidates: List<Candidate>,
-): List<Candidate> {
-    val mayUseReserve = urgency == Urgency.URGENT || limits.urgentReserveSlots == 0
-    return if (mayUseReserve ||
-        candidates.sumOf { it.free.slots } > limits.urgentReserveSlots
-    ) {
-        candidates
-    } else {
-        emptyList()
-    }
-}
-
 /** Sums the free capacity of the owned upstreams that may get new tasks now. */
 internal fun Turn.freeCapacity(): Resources =
     state.lease.leases.entries.fold(Resources.NONE) { sum, (upstream, lease) ->
