--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/StreamingHandler.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/StreamingHandler.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.eclipse.jetty.io.Content
+import org.eclipse.jetty.io.IdleTimeout
 import org.eclipse.jetty.server.Handler
 import org.eclipse.jetty.util.Callback
 import org.http4k.core.HttpHandler
@@ -34,6 +35,8 @@
         val http4kRequest = request.toHttp4k()
         val answer = if (http4kRequest == null) Response(Status.NOT_IMPLEMENTED) else answer(http4kRequest)
         try {
+            // The idle time counts from the last read; without this the check may fall into the first write.
+            (request.connectionMetaData.connection.endPoint as? IdleTimeout)?.notIdle()
             write(answer, response)
             callback.succeeded()
         } catch (e: IOException) {
--- a/adapters/src/test/kotlin/org/anvilbarrow/adapters/peer/PeerNetworkTest.kt
+++ b/adapters/src/test/kotlin/org/anvilbarrow/adapters/peer/PeerNetworkTest.kt
@@ -1,7 +1,6 @@
 package org.anvilbarrow.adapters.peer
 
 import org.anvilbarrow.protocol.codec.PeerCodec
-import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.SchedulerId
 import org.anvilbarrow.protocol.model.TaskId
 import org.anvilbarrow.protocol.model.UpstreamId
@@ -26,6 +25,7 @@
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
 
 class PeerNetworkTest {
     private val a = SchedulerId("a")
@@ -35,7 +35,7 @@
     private val received = LinkedBlockingQueue<Pair<SchedulerId, PeerMessage>>()
     private val traffic = CountingTraffic()
     private val open = mutableListOf<AutoCloseable>()
-    private val ports = List(2) { ServerSocket(0, 1, LOOPBACK) }.map { socket -> socket.use { it.localPort } }
+    private val ports = freePorts()
     private val notice = PeerMessage.DrainNotice(UpstreamId("upstream-1"))
 
     @AfterEach
@@ -97,6 +97,18 @@
         expectThat(traffic.dropped.get()).isGreaterThan(SENDS - limits.queuedMessages - 2).isLessThan(SENDS)
     }
 
+    /**
+     * Returns two ports below the range from which the system takes the ports of outgoing connections.
+     *
+     * A connection that is tried again and again to a free port of that range may be given this port itself, and the
+     * server then cannot listen on it.
+     */
+    private fun freePorts(): List<Int> =
+        generateSequence(FIRST_PORT + Random.nextInt(PORTS)) { it + 1 }
+            .filter { port -> runCatching { ServerSocket(port, 1, LOOPBACK).close() }.isSuccess }
+            .take(2)
+            .toList()
+
     private fun sendUntilReceived(sender: Network): Pair<SchedulerId, PeerMessage>? =
         generateSequence {
             sender.peers.send(b, notice)
@@ -173,10 +185,12 @@
         const val MAX_SENDS = 80
         const val SENDS = 100
         const val BACKLOG = 4
+        const val FIRST_PORT = 20_000
+        const val PORTS = 10_000
         val LOOPBACK: InetAddress = InetAddress.getLoopbackAddress()
 
         /** Stands for a length prefix over the limit without content. */
         val PREFIX_ONLY = ByteArray(0)
-        val MISSING = SchedulerId("none") to PeerMessage.ReserveDenied(TaskId("none"), Resources.NONE)
+        val MISSING = SchedulerId("none") to PeerMessage.ReserveDenied(TaskId("none"))
     }
 }
