--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/CatalogReader.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/catalog/CatalogReader.kt
@@ -4,6 +4,7 @@
 import org.anvilbarrow.kernel.core.Turn
 import org.anvilbarrow.kernel.home.HomeOffices
 import org.anvilbarrow.kernel.membership.Membership
+import org.anvilbarrow.protocol.model.UpstreamId
 
 /** Keeps the scheduler's catalog up to date with the log. */
 internal object CatalogReader {
@@ -26,10 +27,24 @@
         turn: Turn,
         catalog: Catalog,
     ) {
-        if (catalog == turn.state.catalog) return
+        val before = turn.state.catalog
+        if (catalog == before) return
         turn.state = turn.state.copy(catalog = catalog)
+        Membership.forgetNotices(turn, changedUpstreams(before, catalog))
         Membership.refreshIntendedOwners(turn)
         catalog.shards.keys.forEach { HomeOffices.refresh(turn, it) }
         turn.dispatchNeeded = true
     }
+
+    private fun changedUpstreams(
+        before: Catalog,
+        after: Catalog,
+    ): Set<UpstreamId> =
+        if (before.upstreams === after.upstreams) {
+            emptySet()
+        } else {
+            after.upstreams
+                .filter { (upstream, declared) -> before.upstreams[upstream] != declared }
+                .keys
+        }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/membership/Membership.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/membership/Membership.kt
@@ -41,10 +41,21 @@
         if (isNew) sendHeartbeats(turn)
     }
 
+    /** Forgets the notices about [upstreams]: the catalog now says whether they are draining. */
+    fun forgetNotices(
+        turn: Turn,
+        upstreams: Set<UpstreamId>,
+    ) = turn.updateMembership { copy(drainNotices = upstreams.fold(drainNotices) { left, id -> left.remove(id) }) }
+
     fun onDrainNotice(
         turn: Turn,
         upstream: UpstreamId,
     ) {
+        val isKnown =
+            turn.state.catalog.upstreams[upstream]
+                ?.spec
+                ?.draining == true
+        if (isKnown) return
         turn.updateMembership { copy(drainNotices = drainNotices.put(upstream, turn.now)) }
     }
 
