Do not renew leases of a shard that is being handed over

Cause: a renewal sent in the same tick as the release could overtake it and take the lease again, so the next owner waited 3 s and could not use the memory of ids it had been given; ids issued up to 1.5 s later were refused. Ruled out: a wrong estimate of the waiting time (the refusal was MEMORY_LOST), and a lease reply that was dropped (the upstream answered that the old owner held it). A denial of a request older than the one that obtained the lease no longer drops it.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/lease/LeaseKeeper.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/lease/LeaseKeeper.kt
@@ -38,7 +38,7 @@
         if (sentAt <= releasedAt) return
         when (reply) {
             is LeaseReply.Granted -> onGranted(turn, upstream, sentAt, reply)
-            is LeaseReply.Denied -> drop(turn, upstream)
+            is LeaseReply.Denied -> onDenied(turn, upstream, sentAt)
         }
         turn.state.catalog.upstreams[upstream]
             ?.let { HomeOffices.refresh(turn, it.spec.shard) }
@@ -77,6 +77,8 @@
         upstream: UpstreamId,
         spec: UpstreamSpec,
     ) {
+        // A renewal that arrives after the release would take the lease again and keep the next owner out for 3 s.
+        if (spec.shard in turn.state.lease.closingSince) return
         val held = turn.state.lease.leases[upstream]
         val isIntended = turn.state.membership.intendedOwners[spec.shard] == turn.self
         val lastSentAt =
@@ -106,6 +108,16 @@
         turn.emit(Effect.RequestLease(upstream, spec.address, turn.now, request))
     }
 
+    /** A denial of a request that was sent before the one that obtained the lease says nothing about the lease. */
+    private fun onDenied(
+        turn: Turn,
+        upstream: UpstreamId,
+        sentAt: Instant,
+    ) {
+        val held = turn.state.lease.leases[upstream]
+        if (held == null || sentAt >= held.requestedAt) drop(turn, upstream)
+    }
+
     private fun onGranted(
         turn: Turn,
         upstream: UpstreamId,
