Count the tasks that fit in one place

Cause: home.timesIn and placement.tasksThatFit answered the same question. timesIn built three lists for each upstream on the placement path, and it ignored a resource that was already overcommitted when the task needed none of it, which the policies' own check does not. Change: the home package calls tasksThatFit; timesIn is gone. The results differ only on an upstream whose capacity was lowered below what is committed; no policy places there.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/CapacityCheck.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/CapacityCheck.kt
@@ -1,6 +1,7 @@
 package org.anvilbarrow.kernel.home
 
 import org.anvilbarrow.kernel.core.Turn
+import org.anvilbarrow.kernel.placement.tasksThatFit
 import org.anvilbarrow.protocol.model.Outcome
 import org.anvilbarrow.protocol.model.RefusalReason
 import org.anvilbarrow.protocol.model.Resources
@@ -13,7 +14,7 @@
         spec: WorkloadSpec,
     ): Outcome? {
         val capacities = capacitiesIn(turn, spec.region)
-        val room = capacities.sumOf { spec.resources.timesIn(it) }
+        val room = capacities.sumOf { tasksThatFit(spec.resources, it) }
         if (room >= spec.tasks) return null
         val detail =
             "region ${spec.region} has room for $room of the ${spec.tasks} tasks when it is empty; " +
@@ -32,15 +33,3 @@
                     ?.region == region
             }.map { it.spec.capacity }
 }
-
-/** Returns how many tasks that need this amount each fit in [available]. */
-internal fun Resources.timesIn(available: Resources): Int =
-    listOf(
-        available.cpuMillicores to cpuMillicores,
-        available.memoryMebibytes to memoryMebibytes,
-        available.accelerators to accelerators,
-        available.slots to slots,
-        available.connections to connections,
-    ).filter { (_, need) -> need > 0 }
-        .minOfOrNull { (free, need) -> maxOf(0, free) / need }
-        ?: Int.MAX_VALUE
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/ExpectedWait.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/ExpectedWait.kt
@@ -1,6 +1,7 @@
 package org.anvilbarrow.kernel.home
 
 import org.anvilbarrow.kernel.core.Turn
+import org.anvilbarrow.kernel.placement.tasksThatFit
 import org.anvilbarrow.protocol.model.WorkloadSpec
 import java.time.Duration
 
@@ -42,6 +43,12 @@
     ): Int =
         turn.state.lease.leases.entries.sumOf { (upstream, lease) ->
             val declared = turn.state.catalog.upstreams[upstream]
-            if (declared == null || !lease.isValid(turn.now)) 0 else spec.resources.timesIn(declared.spec.capacity)
+            if (declared == null ||
+                !lease.isValid(turn.now)
+            ) {
+                0
+            } else {
+                tasksThatFit(spec.resources, declared.spec.capacity)
+            }
         }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/Placer.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/Placer.kt
@@ -7,6 +7,7 @@
 import org.anvilbarrow.kernel.placement.Candidate
 import org.anvilbarrow.kernel.placement.candidatesIn
 import org.anvilbarrow.kernel.placement.placementPolicyOf
+import org.anvilbarrow.kernel.placement.tasksThatFit
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.SchedulerId
 import org.anvilbarrow.protocol.model.TaskId
@@ -128,7 +129,7 @@
         if (spec.tasks == 1) {
             return listOfNotNull(placementPolicyOf(spec).choose(spec.resources, candidates))
         }
-        val room = candidates.sumOf { spec.resources.timesIn(it.free) }
+        val room = candidates.sumOf { tasksThatFit(spec.resources, it.free) }
         val count = minOf(room, spec.tasks)
         return placementPolicyOf(spec).chooseAll(spec.resources, count, candidates).orEmpty()
     }
@@ -143,8 +144,9 @@
         return turn.state.membership.peers.values
             .filter { it.isLive(turn.now, turn.limits.peerTimeout) && it.heartbeat.region == spec.region }
             .sortedWith(compareBy({ -it.free.slots }, { it.heartbeat.scheduler }))
-            .flatMap { peer -> List(minOf(count, spec.resources.timesIn(peer.free))) { peer.heartbeat.scheduler } }
-            .take(count)
+            .flatMap { peer ->
+                List(minOf(count, tasksThatFit(spec.resources, peer.free))) { peer.heartbeat.scheduler }
+            }.take(count)
     }
 
     private fun reserve(
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/RegionCrossing.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/home/RegionCrossing.kt
@@ -2,6 +2,7 @@
 
 import org.anvilbarrow.kernel.core.KernelLimits
 import org.anvilbarrow.kernel.core.Turn
+import org.anvilbarrow.kernel.placement.tasksThatFit
 import org.anvilbarrow.protocol.model.SchedulerId
 import org.anvilbarrow.protocol.model.Urgency
 import org.anvilbarrow.protocol.model.WorkloadSpec
@@ -21,7 +22,7 @@
         if (spec.tasks > 1 || patience == null || turn.now < request.queuedAt + patience) return null
         return turn.state.membership.peers.values
             .filter { it.isLive(turn.now, turn.limits.peerTimeout) && it.heartbeat.region != spec.region }
-            .filter { spec.resources.timesIn(it.free) > 0 }
+            .filter { tasksThatFit(spec.resources, it.free) > 0 }
             .maxByOrNull { it.free.slots }
             ?.heartbeat
             ?.scheduler
