--- /dev/null
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/CellMesh.kt
@@ -0,0 +1,215 @@
+package org.anvilbarrow.adapters.cell
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import org.anvilbarrow.adapters.peer.FrameChannel
+import org.anvilbarrow.adapters.peer.PeerFault
+import org.anvilbarrow.adapters.peer.PeerSilence
+import org.anvilbarrow.adapters.peer.describe
+import org.anvilbarrow.protocol.jobs.CellMessage
+import org.anvilbarrow.protocol.jobs.RecordCodec
+import java.io.IOException
+import java.time.Duration
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
+
+private val log = KotlinLogging.logger("anvilbarrow.mesh")
+
+/** Times of the connections between the processes of a cell. */
+@Suppress("MagicNumber") // The properties name the numbers.
+public data class MeshLimits(
+    /** A connection on which nothing arrives for this time is closed and replaced. */
+    val silence: Duration = Duration.ofMillis(1_500),
+    /** An empty frame is sent in this interval, so that a quiet connection does not look silent. */
+    val keepAlive: Duration = Duration.ofMillis(500),
+    /** Longest wait for a connection; a new one to another region takes 60 ms. */
+    val connect: Duration = Duration.ofMillis(800),
+    /** Pause before a broken connection is replaced. */
+    val retry: Duration = Duration.ofMillis(200),
+    /** Messages that wait for one peer. */
+    val queuedMessages: Int = 4_096,
+)
+
+/** Told of messages and connections on a mesh thread; must not block. */
+public interface MeshListener {
+    public fun received(
+        from: String,
+        message: CellMessage,
+    )
+
+    /** The connection to [address] is up, or the last one broke. */
+    public fun linkChanged(
+        address: String,
+        up: Boolean,
+    )
+}
+
+/**
+ * Connections between the processes of a cell, each used in both directions.
+ *
+ * A process connects to the addresses that it [want]s and accepts connections of all others. Messages may be lost.
+ */
+public class CellMesh(
+    /** Address at which peers reach this process, as `host:port`. */
+    private val self: String,
+    private val incarnation: Long,
+    private val limits: MeshLimits,
+    private val listener: MeshListener,
+) : AutoCloseable {
+    private class Link(
+        val queue: Channel<CellMessage>,
+    )
+
+    private val threads = Executors.newFixedThreadPool(THREADS) { Thread(it, "mesh").apply { isDaemon = true } }
+    private val dispatcher = threads.asCoroutineDispatcher()
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val selector = SelectorManager(dispatcher)
+    private val links = ConcurrentHashMap<String, Link>()
+    private val dialers = HashMap<String, Job>()
+
+    /** Listens on the own address. */
+    public fun start() {
+        val (host, port) = split(self)
+        val server = runBlocking { aSocket(selector).tcp().bind(host, port) { reuseAddress = true } }
+        scope.launch { accept(server) }
+    }
+
+    /** Addresses of the processes that are connected. */
+    public val connected: Set<String> get() = links.keys.toSet()
+
+    /** Keeps connections to [addresses] and no others that this process opened. */
+    @Synchronized
+    public fun want(addresses: Set<String>) {
+        val wanted = addresses - self
+        (dialers.keys - wanted).forEach { dialers.remove(it)?.cancel() }
+        (wanted - dialers.keys).forEach { address -> dialers[address] = scope.launch { dial(address) } }
+    }
+
+    /** Queues [message] without blocking; returns false if [to] is not connected or its queue is full. */
+    public fun send(
+        to: String,
+        message: CellMessage,
+    ): Boolean = links[to]?.queue?.trySend(message)?.isSuccess ?: false
+
+    override fun close() {
+        scope.cancel()
+        selector.close()
+        threads.shutdown()
+    }
+
+    private suspend fun accept(server: ServerSocket) {
+        while (true) {
+            try {
+                val socket = server.accept()
+                scope.launch { guarded("from ${socket.remoteAddress}") { socket.use { answer(it) } } }
+            } catch (e: IOException) {
+                currentCoroutineContext().ensureActive()
+                log.error { "A connection could not be accepted: ${describe(e)}." }
+                delay(limits.retry.toMillis())
+            }
+        }
+    }
+
+    private suspend fun answer(socket: Socket) {
+        val frames = FrameChannel(socket, limits.silence)
+        val hello = decode(frames.read()) as? CellMessage.Hello ?: throw PeerFault("the first frame is no hello")
+        if (hello.protocolVersion != CellMessage.PROTOCOL_VERSION) {
+            throw PeerFault("protocolVersion is ${hello.protocolVersion}, allowed is ${CellMessage.PROTOCOL_VERSION}")
+        }
+        converse(hello.address, frames)
+    }
+
+    private suspend fun dial(address: String) {
+        val (host, port) = split(address)
+        while (true) {
+            guarded("to $address") {
+                val socket =
+                    withTimeoutOrNull(limits.connect.toMillis()) {
+                        aSocket(selector).tcp().connect(host, port) { noDelay = true }
+                    } ?: throw PeerSilence("no connection within ${limits.connect}")
+                socket.use {
+                    val frames = FrameChannel(it, limits.silence)
+                    frames.write(encode(CellMessage.Hello(CellMessage.PROTOCOL_VERSION, self, incarnation)))
+                    converse(address, frames)
+                }
+            }
+            delay(limits.retry.toMillis())
+        }
+    }
+
+    private suspend fun converse(
+        address: String,
+        frames: FrameChannel,
+    ): Unit =
+        coroutineScope {
+            val link = Link(Channel(limits.queuedMessages))
+            links[address] = link
+            listener.linkChanged(address, up = true)
+            try {
+                val writer = launch { write(link, frames) }
+                while (true) {
+                    val frame = frames.read()
+                    if (frame.isNotEmpty()) listener.received(address, decode(frame))
+                    if (writer.isCompleted) throw PeerSilence("the connection cannot be written")
+                }
+            } finally {
+                if (links.remove(address, link)) listener.linkChanged(address, up = false)
+            }
+        }
+
+    private suspend fun write(
+        link: Link,
+        frames: FrameChannel,
+    ) {
+        while (true) {
+            val message = withTimeoutOrNull(limits.keepAlive.toMillis()) { link.queue.receive() }
+            if (message == null) frames.acknowledge() else frames.write(encode(message))
+        }
+    }
+
+    @Suppress("TooGenericExceptionCaught") // Ktor's sockets throw several unrelated types for a broken connection.
+    private suspend fun guarded(
+        what: String,
+        block: suspend () -> Unit,
+    ) {
+        try {
+            block()
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            currentCoroutineContext().ensureActive()
+            log.debug { "The connection $what ended: ${describe(e)}." }
+        }
+    }
+
+    private fun encode(message: CellMessage): ByteArray = RecordCodec.encode(CellMessage.serializer(), message)
+
+    private fun decode(frame: ByteArray): CellMessage =
+        RecordCodec.decode(CellMessage.serializer(), frame)
+            ?: throw PeerFault("a frame of ${frame.size} bytes holds no known message")
+
+    private companion object {
+        /** One thread waits for sockets; the other encodes and decodes. */
+        const val THREADS = 2
+
+        fun split(address: String): Pair<String, Int> =
+            address.substringBeforeLast(':') to address.substringAfterLast(':').toInt()
+    }
+}
--- /dev/null
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/HttpCaller.kt
@@ -0,0 +1,85 @@
+package org.anvilbarrow.adapters.cell
+
+import org.anvilbarrow.adapters.platform.JettyTransport
+import org.anvilbarrow.adapters.platform.PlatformClientLimits
+import org.eclipse.jetty.client.BufferingResponseListener
+import org.eclipse.jetty.client.BytesRequestContent
+import org.eclipse.jetty.client.Result
+import java.net.URI
+import java.net.URISyntaxException
+import java.time.Duration
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+
+/** One HTTP call. */
+public class HttpCall(
+    public val method: String,
+    public val url: String,
+    /** Longest time from sending to the end of the answer; the connection is closed when it runs out. */
+    public val timeout: Duration,
+    public val contentType: String? = null,
+    public val body: ByteArray? = null,
+    public val headers: Map<String, String> = emptyMap(),
+    public val maxReplyBytes: Int = 4 * 1024 * 1024,
+)
+
+/** What became of an [HttpCall]. */
+public sealed interface HttpReply {
+    /** The whole answer arrived. */
+    public class Replied(
+        public val status: Int,
+        public val body: ByteArray,
+        public val headers: (String) -> String?,
+    ) : HttpReply
+
+    /** No usable answer arrived; the call may have had its effect. */
+    public data class NoAnswer(
+        val detail: String,
+    ) : HttpReply
+}
+
+/** Makes HTTP calls without a thread for each of them. */
+public class HttpCaller(
+    name: String,
+    limits: PlatformClientLimits = PlatformClientLimits(),
+) : AutoCloseable {
+    private val transport = JettyTransport(name, limits)
+
+    /** Sends [call] once; the result never completes exceptionally. */
+    public fun send(call: HttpCall): CompletableFuture<HttpReply> {
+        val reply = CompletableFuture<HttpReply>()
+        val uri =
+            try {
+                URI(call.url)
+            } catch (e: URISyntaxException) {
+                return CompletableFuture.completedFuture(HttpReply.NoAnswer("'${call.url}' is no URL: ${e.message}"))
+            }
+        val request =
+            transport
+                .newRequest(uri)
+                .method(call.method)
+                .timeout(call.timeout.toMillis(), TimeUnit.MILLISECONDS)
+        call.headers.forEach { (name, value) -> request.headers { it.put(name, value) } }
+        call.body?.let { request.body(BytesRequestContent(call.contentType, it)) }
+        request.send(
+            object : BufferingResponseListener(call.maxReplyBytes) {
+                override fun onComplete(result: Result) {
+                    reply.complete(replyOf(result, content ?: ByteArray(0)))
+                }
+            },
+        )
+        return reply
+    }
+
+    private fun replyOf(
+        result: Result,
+        content: ByteArray,
+    ): HttpReply =
+        if (result.isFailed) {
+            HttpReply.NoAnswer(result.failure.toString())
+        } else {
+            HttpReply.Replied(result.response.status, content) { result.response.headers.get(it) }
+        }
+
+    override fun close(): Unit = transport.close()
+}
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/CallerServer.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/CallerServer.kt
@@ -11,11 +11,12 @@
 import java.net.InetSocketAddress
 import java.time.Duration
 
-/** Serves [handler] over HTTP/1.1 on Jetty. */
+/** Serves [handler] over HTTP/1.1 on Jetty at [address] and at [more]. */
 public class CallerServer(
     private val address: InetSocketAddress,
     private val handler: HttpHandler,
     private val limits: CallerLimits = CallerLimits(),
+    private val more: List<InetSocketAddress> = emptyList(),
 ) : AutoCloseable {
     private val server = server()
 
@@ -44,11 +45,13 @@
                 outputBufferSize = CallerLimits.BUFFER_BYTES
                 uriCompliance = UriCompliance.DEFAULT
             }
-        val connector = ServerConnector(jetty, ACCEPTORS, SELECTORS, HttpConnectionFactory(http))
-        connector.host = address.hostString
-        connector.port = address.port
-        connector.idleTimeout = limits.idleTimeout.toMillis()
-        jetty.addConnector(connector)
+        (listOf(address) + more).forEach {
+            val connector = ServerConnector(jetty, ACCEPTORS, SELECTORS, HttpConnectionFactory(http))
+            connector.host = it.hostString
+            connector.port = it.port
+            connector.idleTimeout = limits.idleTimeout.toMillis()
+            jetty.addConnector(connector)
+        }
         jetty.handler = GracefulHandler(StreamingHandler(handler))
         return jetty
     }
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/JettyTransport.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/JettyTransport.kt
@@ -12,6 +12,7 @@
 import org.http4k.core.BodyMode
 import org.http4k.core.Request
 import org.http4k.core.Response
+import java.net.URI
 import java.time.Duration
 import org.eclipse.jetty.client.Request as JettyRequest
 
@@ -63,6 +64,12 @@
         return JettyClient(client, BodyMode.Stream, prepare)(request)
     }
 
+    /** Returns a request that Jetty sends without blocking a thread. */
+    fun newRequest(uri: URI): JettyRequest {
+        check(!closed) { "the client is closed" }
+        return client.newRequest(uri)
+    }
+
     override fun close() {
         closed = true
         client.stop()
--- /dev/null
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/CellSettings.kt
@@ -0,0 +1,31 @@
+package org.anvilbarrow.adapters.settings
+
+import org.anvilbarrow.kernel.jobs.CellLimits
+import java.time.Duration
+
+/** Settings of a process that serves durable jobs. */
+public data class CellSettings(
+    /** Name of the VM. */
+    val vm: String,
+    val region: String,
+    val failureDomain: String,
+    /** Where callers connect. */
+    val callers: ListenAddress,
+    /** Where readiness probes connect. */
+    val probes: ListenAddress,
+    /** Where operators read metrics. */
+    val operators: ListenAddress,
+    /** Where the other processes of the cell connect. */
+    val peers: ListenAddress,
+    /** Address of the platform's store, as `host:port`. */
+    val store: String,
+    /** Address of the advice service, as `host:port`, or null if there is none. */
+    val advice: String?,
+    /** Number of shards; the same on every VM and for the life of the cell. */
+    val shards: Int,
+    /** Time between SIGTERM and SIGKILL. */
+    val stopGrace: Duration,
+    val limits: CellLimits,
+    /** Lines of each kind that the decision log may write in a second. */
+    val logLinesPerSecond: Int,
+)
--- /dev/null
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/CellSettingsReader.kt
@@ -0,0 +1,148 @@
+package org.anvilbarrow.adapters.settings
+
+import org.anvilbarrow.kernel.jobs.CellLimits
+import java.time.Duration
+
+/** Every key of the settings file of a process that serves durable jobs. */
+public object CellSettingKeys {
+    internal val vm = SettingKey("vm", "name", "", null, NAME_RULE, "Name of the VM.", ::name)
+    internal val region = SettingKey("vm", "region", "", null, NAME_RULE, "Region of the VM.", ::name)
+    internal val failureDomain =
+        SettingKey("vm", "failure-domain", "", null, NAME_RULE, "Failure domain of the VM.", ::name)
+    internal val stopGrace =
+        seconds("vm", "stop-grace", "6", "Time between SIGTERM and SIGKILL.", MAX_GRACE_SECONDS)
+    internal val callers = listen("callers", "Where callers connect.")
+    internal val probes = listen("probes", "Where readiness probes connect.")
+    internal val operators = listen("operators", "Where operators read metrics.")
+    internal val peers = listen("peers", "Where the other processes of the cell connect.")
+    internal val store =
+        SettingKey("store", "address", "", null, ADDRESS_RULE, "The platform's store.", ::hostAndPort)
+    internal val advice =
+        SettingKey(
+            "advice",
+            "address",
+            "",
+            "none",
+            "$ADDRESS_RULE, or none",
+            "The advice service.",
+        ) { text -> if (text == "none" || text.isEmpty()) "none" else hostAndPort(text) }
+    internal val shards =
+        SettingKey("cell", "shards", "shards", "1", "1 to $MAX_SHARDS", "Parts of the cell with an owner each.") {
+            it.toIntOrNull()?.takeIf { count -> count in 1..MAX_SHARDS }
+        }
+    internal val maxLease =
+        millis("cell", "max-lease", "10000", "Longest lease that upstreams accept.")
+    internal val retention =
+        seconds("cell", "retention", "120", "How long finished jobs can be asked for.", MAX_RETENTION_SECONDS)
+    internal val logLines =
+        SettingKey("logging", "lines-per-second", "lines", "20", "1 to $MAX_LINES", "Lines of each kind of decision.") {
+            it.toIntOrNull()?.takeIf { count -> count in 1..MAX_LINES }
+        }
+
+    /** All keys in the order in which they are documented. */
+    public val all: List<SettingKey<*>> =
+        listOf(
+            vm,
+            region,
+            failureDomain,
+            stopGrace,
+            callers,
+            probes,
+            operators,
+            peers,
+            store,
+            advice,
+            shards,
+            maxLease,
+            retention,
+            logLines,
+        )
+
+    private const val MAX_GRACE_SECONDS = 86_400L
+    private const val MAX_RETENTION_SECONDS = 604_800L
+    private const val MAX_SHARDS = 16
+    private const val MAX_LINES = 10_000
+    private const val MILLIS_PER_SECOND = 1_000
+
+    private fun listen(
+        name: String,
+        meaning: String,
+    ) = SettingKey("listen", name, "", null, ADDRESS_RULE, meaning, ::address)
+
+    private fun hostAndPort(text: String): String? = address(text)?.let { "${it.host}:${it.port}" }
+
+    private fun seconds(
+        section: String,
+        name: String,
+        default: String,
+        meaning: String,
+        most: Long,
+    ) = SettingKey(section, name, "s", default, "1 to $most", meaning) { text ->
+        text
+            .toDoubleOrNull()
+            ?.takeIf { it >= 1 && it <= most }
+            ?.let { Duration.ofMillis((it * MILLIS_PER_SECOND).toLong()) }
+    }
+
+    private fun millis(
+        section: String,
+        name: String,
+        default: String,
+        meaning: String,
+    ) = SettingKey(section, name, "ms", default, "1 and more", meaning) { text ->
+        text.toDoubleOrNull()?.takeIf { it >= 1 }?.let { Duration.ofMillis(it.toLong()) }
+    }
+}
+
+/** Result of reading [CellSettings]. */
+public sealed interface CellSettingsResult {
+    /** The settings can be used. */
+    public data class Valid(
+        val settings: CellSettings,
+    ) : CellSettingsResult
+
+    /** The settings cannot be used; [faults] holds everything that is wrong. */
+    public data class Invalid(
+        val faults: List<SettingFault>,
+    ) : CellSettingsResult
+}
+
+/** Reads the settings of a process that serves durable jobs and reports every fault at once. */
+public class CellSettingsReader(
+    file: String,
+    text: String,
+) {
+    private val ini = CheckedIni(file, text, CellSettingKeys.all)
+
+    /** Returns the settings or everything that is wrong with them. */
+    public fun read(): CellSettingsResult {
+        val settings = build()
+        return if (settings == null) CellSettingsResult.Invalid(ini.faults) else CellSettingsResult.Valid(settings)
+    }
+
+    private fun build(): CellSettings? {
+        val keys = CellSettingKeys
+        keys.all.forEach { ini.value(it) }
+        if (ini.faults.isNotEmpty()) return null
+        val limits = CellLimits()
+        return CellSettings(
+            vm = known(ini.value(keys.vm)),
+            region = known(ini.value(keys.region)),
+            failureDomain = known(ini.value(keys.failureDomain)),
+            callers = known(ini.value(keys.callers)),
+            probes = known(ini.value(keys.probes)),
+            operators = known(ini.value(keys.operators)),
+            peers = known(ini.value(keys.peers)),
+            store = known(ini.value(keys.store)),
+            advice = known(ini.value(keys.advice)).takeIf { it != "none" },
+            shards = known(ini.value(keys.shards)),
+            stopGrace = known(ini.value(keys.stopGrace)),
+            limits =
+                limits.copy(
+                    lease = minOf(limits.lease, known(ini.value(keys.maxLease))),
+                    retention = known(ini.value(keys.retention)),
+                ),
+            logLinesPerSecond = known(ini.value(keys.logLines)),
+        )
+    }
+}
--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -0,0 +1,110 @@
+package org.anvilbarrow.kernel.jobs
+
+import org.anvilbarrow.protocol.jobs.JobId
+import org.anvilbarrow.protocol.jobs.JobPhase
+import java.time.Instant
+
+/**
+ * The owner of one shard: durable jobs, their runs and the upstreams of the shard.
+ *
+ * It decides and does no I/O. It is confined to one thread:
+ * ```
+ * val cell = Cell(token, limits, loaded, now)
+ * val effects = cell.handle(CellEvent.Tick, now)
+ * ```
+ */
+public class Cell(
+    token: Long,
+    private val limits: CellLimits,
+    loaded: LoadedShard,
+    now: Instant,
+) {
+    private val state = CellState(token, limits, now)
+    private val leases = Leases(state)
+    private val jobs: JobDesk = JobDesk(state) { step -> step.active.values.toList().forEach { runs.stop(it) } }
+    private val outcomes = TaskOutcomes(state, jobs)
+    private val runs: RunDesk = RunDesk(state, leases, outcomes)
+    private val watch = UpstreamWatch(state, leases, runs)
+    private val dispatcher = Dispatcher(state, runs)
+
+    init {
+        watch.load(loaded.usedUpstreams)
+        loaded.jobs.forEach(::load)
+    }
+
+    private fun load(loaded: LoadedJob) {
+        val job = JobRun(loaded.id, loaded.submission)
+        job.stored = true
+        job.barred = watch.hasUnseen
+        state.jobs[job.id] = job
+        loaded.progress?.let(job::restore)
+        job.steps.values.forEach(jobs::offer)
+        jobs.openDue(job)
+    }
+
+    /** Jobs that are not finished. */
+    public val openJobs: Int get() = state.jobs.values.count { !it.phase.isFinal }
+
+    /** Runs whose end is not known. */
+    public val openRuns: Int get() = state.upstreams.values.sumOf { it.runs.size }
+
+    /** Steps that wait for room or advice. */
+    public val waitingSteps: Int get() = state.ready.size
+
+    /** Returns the phase of a job as its owner decided it, or null. */
+    internal fun phaseOf(job: JobId): JobPhase? = state.jobs[job]?.phase
+
+    /** The store confirmed at [at] that this owner's claim is the newest. */
+    public fun confirmed(at: Instant) {
+        state.confirmedAt = at
+    }
+
+    /** Handles [event] and returns what is to be done, in order. */
+    public fun handle(
+        event: CellEvent,
+        now: Instant,
+    ): List<CellEffect> = handle(listOf(event), now)
+
+    /** Handles [events] in order, considers waiting tasks once, and returns what is to be done, in order. */
+    public fun handle(
+        events: List<CellEvent>,
+        now: Instant,
+    ): List<CellEffect> {
+        state.now = now
+        events.forEach(::apply)
+        if (state.dispatchNeeded) dispatcher.dispatch()
+        state.journal.next(now)?.let { state.emit(CellEffect.Store(it)) }
+        return state.takeEffects()
+    }
+
+    private fun apply(event: CellEvent) {
+        when (event) {
+            CellEvent.Tick -> tick()
+            is CellEvent.Configured -> configure(event.config)
+            is CellEvent.Listed -> watch.listed(event.entries)
+            is CellEvent.Requested -> jobs.handle(event.call, event.request)
+            is CellEvent.Observed -> watch.observed(event)
+            is CellEvent.StartReturned -> runs.startReturned(event)
+            is CellEvent.StopReturned -> runs.stopReturned(event)
+            is CellEvent.Advised -> dispatcher.advised(event.call, event.good)
+            is CellEvent.HelpersChanged -> dispatcher.helpersChanged(event.helpers)
+            CellEvent.Stored -> state.journal.stored()
+            CellEvent.StoreFenced -> state.emit(CellEffect.Resign("the store has seen a later owner"))
+        }
+    }
+
+    private fun tick() {
+        jobs.tick()
+        runs.tick()
+        dispatcher.tick()
+        watch.tick()
+        // Tickets lapse and quarantines end without an event.
+        state.dispatchNeeded = true
+    }
+
+    private fun configure(config: CellConfig) {
+        if (config.version < (state.config?.version ?: 0)) return
+        state.config = config
+        state.dispatchNeeded = true
+    }
+}
--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -0,0 +1,58 @@
+package org.anvilbarrow.kernel.jobs
+
+import java.time.Duration
+
+/** Times and bounds of the owner of a shard. */
+@Suppress("MagicNumber") // The properties name the numbers.
+public data class CellLimits(
+    /** Lease of running tasks. Longer than a takeover (about 3 s) and renewed every [observeWait]. */
+    val lease: Duration = Duration.ofMillis(5_500),
+    /** How long an upstream waits for an end before it answers a look. */
+    val observeWait: Duration = Duration.ofMillis(1_200),
+    /** Shortest time between the answer of a look and the next look; each look is paid for. */
+    val observeGap: Duration = Duration.ofMillis(120),
+    /** Pause after a look that failed. */
+    val observeRetry: Duration = Duration.ofMillis(400),
+    /** Looks in a row that may fail before leases are no longer renewed. */
+    val failuresBeforeNoRenewal: Int = 2,
+    /** Factor by which the steady clock of an upstream may be slow. */
+    val clockSlowness: Double = 1.02,
+    /** Added to the end of a lease before it is taken as lapsed: transport and stop of the tasks. */
+    val lapseMargin: Duration = Duration.ofMillis(500),
+    /** How long an owner without a confirmed claim renews leases. */
+    val unconfirmedRenewal: Duration = Duration.ofSeconds(10),
+    /** Pause before an unanswered order is sent again. */
+    val orderRetry: Duration = Duration.ofMillis(300),
+    /** Unanswered starts in a row before the run is stopped instead. */
+    val startTries: Int = 2,
+    /** A gang of which not every member has started after this time is stopped; members wait 3 s for each other. */
+    val gangAssembly: Duration = Duration.ofMillis(1_800),
+    /** A run without progress for this time is taken as stuck. */
+    val stuckAfter: Duration = Duration.ofMillis(3_500),
+    /** Failed runs in a row, without a success, after which an upstream is set aside. */
+    val failuresBeforeQuarantine: Int = 2,
+    /** How long an upstream is set aside before it gets one task again. */
+    val quarantine: Duration = Duration.ofSeconds(4),
+    /** Part of a ticket's validity that is not used: its way to the owner and on to the upstream. */
+    val ticketMargin: Duration = Duration.ofMillis(250),
+    /** Added to the expected duration of a call for advice before it is given up. */
+    val adviceTimeout: Duration = Duration.ofMillis(1_500),
+    /** Calls for advice that are longer than this never use the helpers kept for short ones. */
+    val longAdvice: Duration = Duration.ofMillis(300),
+    /** Share of the helpers that make only short calls for advice. */
+    val shortAdviceShare: Double = 0.34,
+    /** Most calls for advice that wait for one helper. */
+    val adviceBacklog: Int = 6,
+    /** Finished jobs are forgotten after this time. */
+    val retention: Duration = Duration.ofSeconds(120),
+    /** A store that has not answered for this time gets no further submissions. */
+    val storeStall: Duration = Duration.ofMillis(700),
+    /** When a caller that was refused for a stalled store may come back. */
+    val stallRetryAfter: Duration = Duration.ofSeconds(1),
+    /** When a caller whose submission may be stored is told so. */
+    val storeAnswer: Duration = Duration.ofMillis(2_300),
+    /** Most jobs that are not finished. */
+    val maxOpenJobs: Int = 20_000,
+    /** Multiple of the latency objective after which a job is worth nothing. */
+    val lateFactor: Double = 3.0,
+)
--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
@@ -0,0 +1,206 @@
+package org.anvilbarrow.kernel.jobs
+
+import org.anvilbarrow.protocol.jobs.Ticket
+import org.anvilbarrow.protocol.model.UpstreamId
+import java.time.Duration
+
+/** Lets the [Planner] place waiting tasks, and asks for the advice that it lacks. */
+internal class Dispatcher(
+    private val state: CellState,
+    private val runs: RunDesk,
+) {
+    private val limits get() = state.limits
+    private val desk = AdviceDesk(limits)
+
+    fun helpersChanged(names: List<String>): Unit = desk.use(names)
+
+    fun advised(
+        call: Long,
+        good: List<Ticket>?,
+    ) {
+        val step = desk.answered(call) ?: return
+        val advice = step.advice
+        if (good == null) {
+            advice.retryAt = state.now.plus(limits.orderRetry)
+            state.decided("advice-failed", step, "call $call")
+        } else {
+            val terms = state.queueOf(step.job)?.advice ?: return
+            advice.tickets.clear()
+            good.forEach {
+                advice.good += it.upstream
+                advice.tickets[it.upstream] = it.value
+            }
+            advice.validUntil = state.now.plus(terms.validity).minus(limits.ticketMargin)
+        }
+        state.dispatchNeeded = true
+    }
+
+    /** Gives up overdue calls for advice. */
+    fun tick() {
+        desk.expired(state.now).forEach { advised(it, null) }
+    }
+
+    /** Starts what can be started now. */
+    fun dispatch() {
+        state.dispatchNeeded = false
+        val config = state.config ?: return
+        val usable = state.upstreams.values.filter { it.isRecorded && it.isUsable(state.now) }
+        val steps = state.ready.filter { it.job.queue in config.queues && !it.job.barred }
+        steps.groupBy { config.queues.getValue(it.job.queue).pool }.forEach { (pool, waiting) ->
+            dispatchPool(waiting, usable.filter { it.entry?.pool == pool })
+        }
+    }
+
+    private fun dispatchPool(
+        steps: List<StepRun>,
+        usable: List<Upstream>,
+    ) {
+        val ids = usable.mapTo(HashSet()) { it.id }
+        val demands = ArrayList<Demand>()
+        val rank = Ranking(state)
+        for (step in steps) {
+            val terms = rank.queueOf(step).advice
+            if (terms != null && needsFirstAdvice(step, ids)) {
+                ask(step, terms, ids.filter { it !in step.advice.asked })
+            }
+            if (!step.job.stored || !isGangFree(step)) continue
+            if (terms != null && step.advice.good.isEmpty()) continue
+            demands += demandOf(step, rank, terms != null)
+        }
+        val plan = Planner(usable.map(::room)).plan(demands)
+        carryOut(plan, rank)
+    }
+
+    /** A gang starts again only when no member of its last run is left. */
+    private fun isGangFree(step: StepRun) = !step.spec.gang || step.active.isEmpty()
+
+    private fun room(upstream: Upstream): Room {
+        val entry = checkNotNull(upstream.entry) { "$upstream is usable without an entry" }
+        return Room(upstream.id, upstream.capacity, upstream.used, entry.labels, entry.rack)
+    }
+
+    private fun demandOf(
+        step: StepRun,
+        rank: Ranking,
+        advised: Boolean,
+    ): Demand {
+        val tasks = step.waiting.stream().toArray().toList()
+        return Demand(
+            step = step,
+            rank = rank.of(step),
+            tasks = tasks,
+            permitted = if (advised) step.advice.good else null,
+            ticketed = !advised || step.advice.isFresh(state.now),
+            runningOn = { id -> state.upstreams[id]?.let(step::countOn) ?: 0 },
+            avoids = { id -> step.failedOn.any { it.id == id } },
+        )
+    }
+
+    private fun needsFirstAdvice(
+        step: StepRun,
+        usable: Set<UpstreamId>,
+    ): Boolean {
+        val advice = step.advice
+        if (advice.call != null || usable.isEmpty() || state.now.isBefore(advice.retryAt)) return false
+        if (advice.asked.isEmpty()) return true
+        // New upstreams are worth a call only if the known ones do not suffice.
+        return advice.good.none { it in usable } && usable.any { it !in advice.asked }
+    }
+
+    private fun ask(
+        step: StepRun,
+        terms: AdviceTerms,
+        upstreams: Collection<UpstreamId>,
+    ) {
+        val named = upstreams.take(MAX_NAMED)
+        if (named.isEmpty() || step.advice.call != null || state.now.isBefore(step.advice.retryAt)) return
+        val placed = desk.place(step, terms.cost(named.size), state.now) ?: return
+        step.advice.asked += named
+        state.emit(CellEffect.Advise(placed.call, placed.helper, step.ref, named, placed.timeout))
+    }
+
+    private fun carryOut(
+        plan: Plan,
+        rank: Ranking,
+    ) {
+        plan.placements.groupBy { it.demand }.forEach { (demand, placements) ->
+            val step = demand.step
+            val gangRun = if (step.spec.gang) state.nextRun() else null
+            placements.forEach {
+                runs.start(step, it.task, state.upstreams.getValue(it.upstream), gangRun ?: state.nextRun())
+            }
+            state.decided("step-placed", step, "${placements.size} task(s), waited ${waited(step)}")
+            if (step.waiting.isEmpty) state.ready -= step
+        }
+        plan.ticketsNeeded.forEach { demand ->
+            rank.queueOf(demand.step).advice?.let { ask(demand.step, it, usableGood(demand.step)) }
+        }
+        keepFresh(plan.blocked, rank)
+    }
+
+    private fun waited(step: StepRun): Duration = Duration.between(step.job.acceptedAt, state.now)
+
+    private fun usableGood(step: StepRun): List<UpstreamId> =
+        step.advice.good.filter { state.upstreams[it]?.isUsable(state.now) == true }
+
+    /** Keeps tickets of the first blocked steps valid whose calls are long, so that room is used at once. */
+    private fun keepFresh(
+        blocked: List<Demand>,
+        rank: Ranking,
+    ) {
+        for (demand in blocked.take(FRESH_STEPS)) {
+            val terms = rank.queueOf(demand.step).advice ?: continue
+            val named = usableGood(demand.step)
+            val cost = terms.cost(named.size)
+            val lapsesSoon = state.now.plus(cost).isAfter(demand.step.advice.validUntil)
+            if (cost > limits.longAdvice && lapsesSoon && desk.hasIdleLongHelper()) ask(demand.step, terms, named)
+        }
+    }
+
+    private companion object {
+        /** Most upstreams that one call may name. */
+        const val MAX_NAMED = 100
+        const val FRESH_STEPS = 3
+    }
+}
+
+/** Ranks steps by what callers still get from them; steps of queues without configuration have no rank. */
+internal class Ranking(
+    private val state: CellState,
+) {
+    fun queueOf(step: StepRun): QueueConfig =
+        checkNotNull(state.queueOf(step.job)) { "queue ${step.job.queue} is not configured" }
+
+    fun of(step: StepRun): Rank {
+        val queue = queueOf(step)
+        val start = step.job.dueAt(step.ref.occurrence)
+        val objective = objective(step, queue)
+        val remaining = Duration.ofMillis(step.spec.estimatedMillis)
+        val lateness =
+            when {
+                state.now.plus(remaining).isBefore(start.plus(objective)) -> 0
+                state.now.isBefore(start.plus(objective.scaled(state.limits.lateFactor))) -> 1
+                else -> 2
+            }
+        return Rank(lateness, queue.priority, start.plus(objective))
+    }
+
+    private fun objective(
+        step: StepRun,
+        queue: QueueConfig,
+    ): Duration {
+        val advice = queue.advice?.cost(ADVISED_UPSTREAMS) ?: Duration.ZERO
+        return step.job.chain
+            .plus(advice)
+            .scaled(queue.stretch)
+            .plus(queue.targetDuration)
+    }
+
+    private fun Duration.scaled(factor: Double): Duration = Duration.ofMillis((toMillis() * factor).toLong())
+
+    private companion object {
+        /** Upstreams named in the call for advice that a latency objective contains. */
+        const val ADVISED_UPSTREAMS = 30
+    }
+}
+
--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobDesk.kt
@@ -0,0 +1,210 @@
+package org.anvilbarrow.kernel.jobs
+
+import org.anvilbarrow.protocol.jobs.JobAnswer
+import org.anvilbarrow.protocol.jobs.JobId
+import org.anvilbarrow.protocol.jobs.JobPhase
+import org.anvilbarrow.protocol.jobs.JobRequest
+import org.anvilbarrow.protocol.jobs.SubmissionRecord
+import java.time.Duration
+import java.time.Instant
+
+/** Accepts, shows, cancels and ends jobs. */
+internal class JobDesk(
+    private val state: CellState,
+    private val stopRuns: (StepRun) -> Unit,
+) {
+    private class WaitingCaller(
+        val call: CallKey,
+        val job: JobRun,
+        val since: Instant,
+    )
+
+    private val waiting = ArrayList<WaitingCaller>()
+
+    fun handle(
+        call: CallKey,
+        request: JobRequest,
+    ) {
+        when (request) {
+            is JobRequest.Submit -> submit(call, request)
+            is JobRequest.Status -> state.answer(call, status(request.job, request.queue))
+            is JobRequest.Cancel -> cancel(call, request)
+            is JobRequest.Pending -> state.answer(call, pending(request.queue))
+        }
+    }
+
+    private fun submit(
+        call: CallKey,
+        request: JobRequest.Submit,
+    ) {
+        val known = state.jobs[request.job]
+        when {
+            known != null && known.queue != request.queue ->
+                state.answer(call, JobAnswer.Invalid("job ${request.job} was handed in on another queue"))
+            known != null && known.stored -> state.answer(call, JobAnswer.Accepted)
+            known != null -> awaitStored(call, known)
+            else -> accept(call, request)
+        }
+    }
+
+    private fun accept(
+        call: CallKey,
+        request: JobRequest.Submit,
+    ) {
+        val invalid = SubmissionCheck(state).problemOf(request)
+        if (invalid != null) {
+            state.decided("submission-invalid", request.job, invalid)
+            return state.answer(call, JobAnswer.Invalid(invalid))
+        }
+        if (state.journal.stalledFor(state.now) > state.limits.storeStall) {
+            return refuse(call, request.job, "the store has not answered for ${state.journal.stalledFor(state.now)}")
+        }
+        if (state.jobs.size >= state.limits.maxOpenJobs) {
+            return refuse(call, request.job, "${state.jobs.size} jobs are kept, which is the limit")
+        }
+        val job = JobRun(request.job, SubmissionRecord(request.queue, request.spec, state.now.toEpochMilli()))
+        state.jobs[job.id] = job
+        state.journal.submitted(job)
+        openDue(job)
+        awaitStored(call, job)
+    }
+
+    private fun refuse(
+        call: CallKey,
+        job: JobId,
+        reason: String,
+    ) {
+        state.decided("submission-refused", job, reason)
+        state.answer(call, JobAnswer.Refused(reason, state.limits.stallRetryAfter.toMillis()))
+    }
+
+    private fun awaitStored(
+        call: CallKey,
+        job: JobRun,
+    ) {
+        waiting += WaitingCaller(call, job, state.now)
+        state.journal.afterStored {
+            if (!job.stored) {
+                job.stored = true
+                state.decided("job-accepted", job.id, "queue ${job.queue}, ${job.spec.steps.size} step(s)")
+                state.dispatchNeeded = true
+            }
+            if (waiting.removeIf { it.call == call }) state.answer(call, JobAnswer.Accepted)
+        }
+    }
+
+    private fun status(
+        id: JobId,
+        queue: String,
+    ): JobAnswer {
+        val job = state.jobs[id]?.takeIf { it.stored && it.queue == queue } ?: return JobAnswer.NotFound
+        val shown =
+            when {
+                job.storedPhase.isFinal -> job.storedPhase
+                job.begun -> JobPhase.RUNNING
+                else -> JobPhase.QUEUED
+            }
+        return JobAnswer.State(shown, job.reason.takeIf { job.storedPhase.isFinal })
+    }
+
+    private fun pending(queue: String): JobAnswer =
+        JobAnswer.Count(state.jobs.values.count { it.stored && it.queue == queue && !it.begun && !it.phase.isFinal })
+
+    private fun cancel(
+        call: CallKey,
+        request: JobRequest.Cancel,
+    ) {
+        val job = state.jobs[request.job]?.takeIf { it.queue == request.queue }
+        if (job == null) return state.answer(call, JobAnswer.NotFound)
+        if (!job.phase.isFinal) {
+            state.decided("job-cancelled", job.id, "asked for by ${call.origin}")
+            end(job, JobPhase.CANCELLED, "cancelled by its owner")
+        }
+        state.journal.afterStored { state.answer(call, JobAnswer.Cancelled) }
+    }
+
+    /** Opens the occurrences of [job] that are due and returns whether there were any. */
+    fun openDue(job: JobRun) {
+        while (job.opened < job.occurrences && !job.phase.isFinal) {
+            val due = job.dueAt(job.opened)
+            if (job.spec.schedule != null && state.now.isBefore(due)) return
+            job.open(job.opened).forEach(::offer)
+        }
+    }
+
+    /** Adds [step] to the steps that the dispatcher considers, if it is open and has waiting tasks. */
+    fun offer(step: StepRun) {
+        if (step.job.phase.isFinal || step.waiting.isEmpty || !step.open) return
+        if (state.ready.add(step)) state.dispatchNeeded = true
+    }
+
+    /** A task of [step] ended `done`. */
+    fun taskDone(step: StepRun) {
+        val job = step.job
+        state.journal.changed(job)
+        if (!step.isDone || job.phase.isFinal) return
+        state.ready -= step
+        job.steps.values.filter { it.ref.occurrence == step.ref.occurrence }.forEach(::offer)
+        if (job.opened == job.occurrences && job.steps.values.all { it.isDone }) {
+            end(job, JobPhase.COMPLETED, null)
+        }
+    }
+
+    fun fail(
+        job: JobRun,
+        reason: String,
+    ) {
+        state.decided("job-failed", job.id, reason)
+        end(job, JobPhase.FAILED, reason)
+    }
+
+    private fun end(
+        job: JobRun,
+        phase: JobPhase,
+        reason: String?,
+    ) {
+        job.phase = phase
+        job.reason = reason
+        job.endedAt = state.now
+        state.journal.changed(job)
+        job.steps.values.forEach { step ->
+            state.ready -= step
+            if (phase != JobPhase.COMPLETED) stopRuns(step)
+        }
+    }
+
+    /** Opens due occurrences, answers callers that waited too long, and forgets old jobs. */
+    fun tick() {
+        answerOverdue()
+        val forgetBefore = state.now.minus(state.limits.retention)
+        state.jobs.values
+            .filter { it.storedPhase.isFinal && it.endedAt?.isBefore(forgetBefore) == true }
+            .forEach { job ->
+                state.jobs -= job.id
+                state.journal.forgotten(job)
+            }
+        state.jobs.values.forEach(::openDue)
+    }
+
+    /**
+     * Answers callers whose submission is not stored in time.
+     *
+     * A submission that was not handed to the store is taken back, so that it can be refused truthfully.
+     */
+    private fun answerOverdue() {
+        val overdue = waiting.filter { Duration.between(it.since, state.now) > state.limits.storeAnswer }
+        val stalled = state.journal.stalledFor(state.now) > state.limits.storeStall
+        val unsent = waiting.filter { stalled && state.journal.isUnsent(it.job) }
+        unsent.forEach { caller ->
+            state.journal.withdraw(caller.job)
+            caller.job.phase = JobPhase.CANCELLED
+            caller.job.steps.values.forEach { state.ready -= it }
+            state.jobs -= caller.job.id
+            refuse(caller.call, caller.job.id, "the store has not answered for ${state.limits.storeStall}")
+        }
+        (overdue - unsent.toSet()).forEach {
+            state.answer(it.call, JobAnswer.Unknown("the store has not answered for ${state.limits.storeAnswer}"))
+        }
+        waiting.removeAll((overdue + unsent).toSet())
+    }
+}
--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -0,0 +1,185 @@
+package org.anvilbarrow.kernel.jobs
+
+import org.anvilbarrow.protocol.jobs.JobId
+import org.anvilbarrow.protocol.jobs.JobPhase
+import org.anvilbarrow.protocol.jobs.JobSpec
+import org.anvilbarrow.protocol.jobs.ProgressRecord
+import org.anvilbarrow.protocol.jobs.StepProgress
+import org.anvilbarrow.protocol.jobs.StepRef
+import org.anvilbarrow.protocol.jobs.SubmissionRecord
+import org.anvilbarrow.protocol.jobs.TaskRef
+import org.anvilbarrow.protocol.model.Resources
+import org.anvilbarrow.protocol.model.UpstreamId
+import java.time.Duration
+import java.time.Instant
+import java.util.BitSet
+
+/** A job at its owner; owned by the control thread. */
+internal class JobRun(
+    val id: JobId,
+    val submission: SubmissionRecord,
+) {
+    val spec: JobSpec get() = submission.spec
+    val queue: String get() = submission.queue
+    val acceptedAt: Instant = Instant.ofEpochMilli(submission.acceptedAtEpochMillis)
+
+    /** Phase as decided; callers see [storedPhase]. */
+    var phase: JobPhase = JobPhase.QUEUED
+    var reason: String? = null
+    var endedAt: Instant? = null
+
+    /** Phase that is on the store. */
+    var storedPhase: JobPhase = JobPhase.QUEUED
+
+    /** True once the submission is on the store. */
+    var stored = false
+
+    /** True while runs of an earlier owner may exist that are not known yet. */
+    var barred = false
+
+    /** Steps of the occurrences that were due so far. */
+    val steps = LinkedHashMap<StepRef, StepRun>()
+    val occurrences: Int = spec.schedule?.occurrences ?: 1
+
+    /** Number of occurrences whose steps are in [steps]. */
+    var opened = 0
+
+    /** Longest chain of estimated run times. */
+    val chain: Duration = Duration.ofMillis(longestChain(spec))
+
+    val begun: Boolean get() = steps.values.any { it.begun }
+
+    /** Due time of [occurrence], or the time of acceptance for a job without schedule. */
+    fun dueAt(occurrence: Int): Instant =
+        spec.schedule?.let { Instant.ofEpochMilli(it.dueAtEpochMillis(occurrence)) } ?: acceptedAt
+
+    fun open(occurrence: Int): List<StepRun> =
+        spec.steps.indices
+            .map { step -> StepRun(this, StepRef(id, occurrence, step)) }
+            .onEach { steps[it.ref] = it }
+            .also { opened = maxOf(opened, occurrence + 1) }
+
+    fun progress(): ProgressRecord =
+        ProgressRecord(phase, steps.values.map { it.progress() }, reason, endedAt?.toEpochMilli())
+
+    fun restore(record: ProgressRecord) {
+        phase = record.phase
+        storedPhase = record.phase
+        reason = record.reason
+        endedAt = record.endedAtEpochMillis?.let(Instant::ofEpochMilli)
+        record.steps.map { it.occurrence }.distinct().sorted().forEach(::open)
+        record.steps.forEach { steps[StepRef(id, it.occurrence, it.step)]?.restore(it) }
+    }
+
+    private companion object {
+        fun longestChain(spec: JobSpec): Long {
+            val ends = LongArray(spec.steps.size)
+            spec.steps.forEachIndexed { index, step ->
+                ends[index] = step.estimatedMillis + (step.dependsOn.maxOfOrNull { ends[it] } ?: 0)
+            }
+            return ends.maxOrNull() ?: 0
+        }
+    }
+}
+
+/** One step of one occurrence of a job; owned by the control thread. */
+internal class StepRun(
+    val job: JobRun,
+    val ref: StepRef,
+) {
+    val spec = job.spec.steps[ref.step]
+    val done = BitSet(spec.tasks)
+
+    /** Tasks that are to be started once the step is [open]. */
+    val waiting = BitSet(spec.tasks).apply { set(0, spec.tasks) }
+
+    /** Current run of each task that has one. */
+    val active = HashMap<Int, Run>()
+    val failures = HashMap<Int, Int>()
+    val checkpoints = HashMap<Int, String>()
+
+    /** Upstreams on which runs of the step failed. */
+    val failedOn = HashSet<Upstream>()
+    var begun = false
+    val advice = StepAdvice()
+
+    val isDone: Boolean get() = done.cardinality() == spec.tasks
+
+    /** True once all steps that this one depends on are done. */
+    val open: Boolean
+        get() = spec.dependsOn.all { job.steps.getValue(StepRef(ref.job, ref.occurrence, it)).isDone }
+
+    fun countOn(upstream: Upstream): Int = active.values.count { it.upstream === upstream }
+
+    fun progress() =
+        StepProgress(ref.occurrence, ref.step, done.toLongArray(), HashMap(failures), HashMap(checkpoints), begun)
+
+    fun restore(progress: StepProgress) {
+        done.or(BitSet.valueOf(progress.done))
+        waiting.andNot(done)
+        failures += progress.failures
+        checkpoints += progress.checkpoints
+        begun = progress.begun
+    }
+
+    override fun toString(): String = ref.toString()
+}
+
+/** One start of a task; owned by the control thread. */
+internal class Run(
+    val task: TaskRef,
+    val number: Long,
+    val upstream: Upstream,
+    /** Step of the task, or null for a run that belongs to no known job. */
+    val step: StepRun?,
+    val resources: Resources,
+) {
+    enum class Status {
+        /** The order to start was sent and has no answer yet. */
+        STARTING,
+
+        /** The upstream has answered, or lists the run. */
+        STARTED,
+
+        /** The run must end; its room is free once its end is certain. */
+        STOPPING,
+    }
+
+    var status = Status.STARTING
+    var ticket: String? = null
+    var checkpoint: String? = null
+    var startedAt: Instant = Instant.MIN
+
+    /** When the last answer about this run arrived; later looks that do not list it show that it is not there. */
+    var answeredAt: Instant? = null
+
+    /** True if an order without an answer may still start the run. */
+    var mayStartLate = false
+    var orderOpen = false
+    var tries = 0
+    var nextOrderAt: Instant = Instant.MIN
+    var percent = 0
+    var progressedAt: Instant = Instant.MIN
+
+    /** True if an upstream has listed the run as running. */
+    var listed = false
+}
+
+/** What the advice service said of a step. */
+internal class StepAdvice {
+    /** Call without an answer, or null. */
+    var call: Long? = null
+
+    /** Upstreams that were asked about. */
+    val asked = HashSet<UpstreamId>()
+
+    /** Upstreams that may run the step; the answer never changes. */
+    val good = HashSet<UpstreamId>()
+    val tickets = HashMap<UpstreamId, String>()
+
+    /** End of the usable validity of [tickets]. */
+    var validUntil: Instant = Instant.MIN
+    var retryAt: Instant = Instant.MIN
+
+    fun isFresh(now: Instant): Boolean = now.isBefore(validUntil)
+}
--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
@@ -0,0 +1,309 @@
+package org.anvilbarrow.kernel.jobs
+
+import org.anvilbarrow.protocol.jobs.TaskRef
+import org.anvilbarrow.protocol.model.Resources
+import org.anvilbarrow.protocol.model.UpstreamId
+import java.time.Duration
+
+/** Starts and stops runs, and decides from answers and lists what became of them. */
+internal class RunDesk(
+    private val state: CellState,
+    private val leases: Leases,
+    private val tasks: TaskOutcomes,
+) {
+    private val limits get() = state.limits
+
+    /** Starts task [index] of [step] on [upstream] as run [number]. */
+    fun start(
+        step: StepRun,
+        index: Int,
+        upstream: Upstream,
+        number: Long,
+    ) {
+        val run = Run(TaskRef(step.ref, index), number, upstream, step, step.spec.countedResources())
+        run.ticket = step.advice.tickets[upstream.id]
+        run.checkpoint = checkpointFor(step, index)
+        run.startedAt = state.now
+        run.progressedAt = state.now
+        step.waiting.clear(index)
+        step.active[index] = run
+        if (!step.begun) {
+            step.begun = true
+            state.journal.changed(step.job)
+        }
+        upstream.add(run)
+        sendStart(run, step)
+    }
+
+    /** All members of a gang resume from one checkpoint. */
+    private fun checkpointFor(
+        step: StepRun,
+        index: Int,
+    ): String? =
+        if (step.spec.gang) step.checkpoints.entries.minByOrNull { it.key }?.value else step.checkpoints[index]
+
+    private fun sendStart(
+        run: Run,
+        step: StepRun,
+    ) {
+        run.orderOpen = true
+        run.tries++
+        val upstream = run.upstream
+        state.emit(
+            CellEffect.Start(
+                upstream = upstream.id,
+                address = upstream.address,
+                token = state.token,
+                task = run.task,
+                run = run.number,
+                payload = step.job.spec.payload,
+                leaseUntilMillis = leases.grant(upstream),
+                checkpoint = run.checkpoint,
+                ticket = run.ticket,
+            ),
+        )
+    }
+
+    fun startReturned(event: CellEvent.StartReturned) {
+        val run = currentRun(event.upstream, event.task, event.run) ?: return
+        run.orderOpen = false
+        when (val result = event.result) {
+            StartResult.Started -> {
+                run.answeredAt = state.now
+                run.mayStartLate = false
+                if (run.status == Run.Status.STARTING) run.status = Run.Status.STARTED
+            }
+            StartResult.Displaced -> state.emit(CellEffect.Resign("upstream ${event.upstream} has a later token"))
+            is StartResult.NotStarted -> notStarted(run, result.reason)
+            is StartResult.Unanswered -> unanswered(run, result.detail)
+        }
+    }
+
+    private fun unanswered(
+        run: Run,
+        detail: String,
+    ) {
+        run.mayStartLate = true
+        run.nextOrderAt = state.now.plus(limits.orderRetry)
+        state.decided("start-unanswered", run.task, "run ${run.number} on ${run.upstream}: $detail")
+        if (run.tries >= limits.startTries) stop(run)
+    }
+
+    private fun notStarted(
+        run: Run,
+        reason: NotStartedReason,
+    ) {
+        state.decided("start-rejected", run.task, "run ${run.number} on ${run.upstream}: $reason")
+        when (reason) {
+            // The run may have been started by an earlier copy of the order; the next list shows it.
+            NotStartedReason.OLD -> {
+                run.answeredAt = state.now
+                if (run.status == Run.Status.STARTING) run.status = Run.Status.STARTED
+                return
+            }
+            NotStartedReason.TICKET -> run.step?.advice?.validUntil = state.now
+            NotStartedReason.UNHEALTHY -> run.upstream.failed(state.now, limits)
+            else -> Unit
+        }
+        if (run.mayStartLate) stop(run) else lost(run, "not started: $reason")
+    }
+
+    /** Orders [run] to stop; its room stays taken until its end is certain. */
+    fun stop(run: Run) {
+        if (run.status == Run.Status.STOPPING) return
+        run.status = Run.Status.STOPPING
+        run.answeredAt = null
+        sendStop(run)
+    }
+
+    private fun sendStop(run: Run) {
+        run.orderOpen = true
+        state.emit(CellEffect.Stop(run.upstream.id, run.upstream.address, state.token, run.task, run.number))
+    }
+
+    fun stopReturned(event: CellEvent.StopReturned) {
+        val run = currentRun(event.upstream, event.task, event.run) ?: return
+        run.orderOpen = false
+        when (event.result) {
+            StopResult.ACCEPTED -> {
+                run.answeredAt = state.now
+                run.mayStartLate = false
+                // The end of a stopped run has to be listed before its room is free.
+                run.upstream.nextLookAt = state.now
+            }
+            StopResult.DISPLACED -> state.emit(CellEffect.Resign("upstream ${event.upstream} has a later token"))
+            StopResult.OTHER_UPSTREAM, StopResult.UNANSWERED -> run.nextOrderAt = state.now.plus(limits.orderRetry)
+        }
+    }
+
+    private fun currentRun(
+        upstream: UpstreamId,
+        task: TaskRef,
+        number: Long,
+    ): Run? = state.upstreams[upstream]?.runs?.get(task)?.takeIf { it.number == number }
+
+    /** Takes in what [upstream] lists; [event] was sent at a time from which on missing runs are not there. */
+    fun observed(
+        upstream: Upstream,
+        event: CellEvent.Observed,
+        seen: Observation.Seen,
+    ) {
+        seen.ended.filter { it.number > upstream.seenEnd }.sortedBy { it.number }.forEach { ended(upstream, it) }
+        val listed = seen.running.associateBy { it.task to it.run }
+        seen.running.forEach { running(upstream, it) }
+        upstream.runs.values
+            .filter { (it.task to it.number) !in listed && it.answeredAt?.isBefore(event.sentAt) == true }
+            .forEach { lost(it, "not listed by $upstream") }
+    }
+
+    private fun running(
+        upstream: Upstream,
+        row: RunningTask,
+    ) {
+        val run = upstream.runs[row.task]
+        when {
+            run == null -> adopt(upstream, row)
+            run.number == row.run -> progressed(run, row)
+            // Two runs of one task on one upstream: the list is older than the current run, or an old order came late.
+            else -> state.emit(CellEffect.Stop(upstream.id, upstream.address, state.token, row.task, row.run))
+        }
+    }
+
+    private fun progressed(
+        run: Run,
+        row: RunningTask,
+    ) {
+        run.listed = true
+        run.mayStartLate = false
+        if (run.status == Run.Status.STARTING) {
+            run.status = Run.Status.STARTED
+            run.answeredAt = state.now
+        }
+        if (row.percent != run.percent) {
+            run.percent = row.percent
+            run.progressedAt = state.now
+        }
+        if (row.checkpoint.isNotEmpty()) run.step?.checkpoints?.put(run.task.index, row.checkpoint)
+    }
+
+    /** Takes over a run that another owner or a late order started, or stops it if it is not wanted. */
+    private fun adopt(
+        upstream: Upstream,
+        row: RunningTask,
+    ) {
+        val step = tasks.stepOf(row.task)
+        val wanted = step != null && isWanted(step, row.task.index)
+        val run =
+            Run(row.task, row.run, upstream, step, step?.spec?.countedResources() ?: Resources.NONE).apply {
+                status = Run.Status.STARTED
+                answeredAt = state.now
+                startedAt = state.now
+                progressedAt = state.now
+                listed = true
+            }
+        upstream.add(run)
+        state.decided("run-found", row.task, "run ${row.run} on $upstream, ${if (wanted) "adopted" else "stopped"}")
+        if (wanted) {
+            step.begun = true
+            step.waiting.clear(row.task.index)
+            step.active[row.task.index] = run
+            if (step.waiting.isEmpty) state.ready -= step
+        } else {
+            stop(run)
+        }
+    }
+
+    private fun isWanted(
+        step: StepRun,
+        index: Int,
+    ): Boolean = !step.job.phase.isFinal && !step.done.get(index) && index !in step.active && sameGangRun(step)
+
+    private fun sameGangRun(step: StepRun): Boolean =
+        !step.spec.gang || step.active.values.none { it.status == Run.Status.STOPPING }
+
+    private fun ended(
+        upstream: Upstream,
+        row: EndedTask,
+    ) {
+        upstream.seenEnd = row.number
+        val run = upstream.runs[row.task]?.takeIf { it.number == row.run }
+        val step = run?.step ?: tasks.stepOf(row.task)
+        if (run != null) release(run)
+        if (step == null) return
+        if (row.checkpoint.isNotEmpty() && !step.done.get(row.task.index)) {
+            step.checkpoints[row.task.index] = row.checkpoint
+            state.journal.changed(step.job)
+        }
+        tasks.ended(step, row, upstream, run)
+    }
+
+    /** [run] is certainly not there, and did not end `done` as far as anyone will know. */
+    fun lost(
+        run: Run,
+        reason: String,
+    ) {
+        state.decided("run-lost", run.task, "run ${run.number} on ${run.upstream}: $reason")
+        release(run)
+        run.step?.let { tasks.again(it, run.task.index) }
+    }
+
+    private fun release(run: Run) {
+        run.upstream.remove(run)
+        run.step?.let { step -> if (step.active[run.task.index] === run) step.active -= run.task.index }
+        state.dispatchNeeded = true
+    }
+
+    /** Sends unanswered orders again and stops runs that are stuck or gangs that do not assemble. */
+    fun tick() {
+        state.upstreams.values
+            .flatMap { it.runs.values.toList() }
+            .forEach { run ->
+                when {
+                    run.orderOpen -> Unit
+                    run.status == Run.Status.STOPPING && run.answeredAt == null && !state.now.isBefore(run.nextOrderAt) ->
+                        sendStop(run)
+                    run.status == Run.Status.STARTING && !state.now.isBefore(run.nextOrderAt) ->
+                        run.step?.let { sendStart(run, it) }
+                    run.status == Run.Status.STARTED && isStuck(run) -> stuck(run)
+                }
+            }
+        state.jobs.values
+            .filter { !it.phase.isFinal }
+            .flatMap { it.steps.values }
+            .filter { it.spec.gang && it.active.isNotEmpty() && !it.isDone }
+            .forEach(::checkGang)
+    }
+
+    private fun isStuck(run: Run): Boolean {
+        val step = run.step ?: return false
+        return !step.spec.longRunning &&
+            run.percent < COMPLETE_PERCENT &&
+            run.upstream.failedLooks == 0 &&
+            run.upstream.seenAt?.isAfter(run.progressedAt.plus(limits.stuckAfter)) == true
+    }
+
+    private fun stuck(run: Run) {
+        state.decided("run-stuck", run.task, "run ${run.number} on ${run.upstream} stays at ${run.percent}%")
+        run.upstream.failed(state.now, limits)
+        run.step?.failedOn?.add(run.upstream)
+        stop(run)
+    }
+
+    /** A gang of which a member is missing never works; the others are stopped before they wait in vain. */
+    private fun checkGang(step: StepRun) {
+        if (step.active.size + step.done.cardinality() < step.spec.tasks) {
+            step.active.values.toList().forEach(::stop)
+            return
+        }
+        val unconfirmed = step.active.values.filter { it.status == Run.Status.STARTING }
+        val oldest = unconfirmed.minOfOrNull { it.startedAt } ?: return
+        if (Duration.between(oldest, state.now) > limits.gangAssembly) {
+            state.decided("gang-incomplete", step, "${unconfirmed.size} member(s) did not answer")
+            step.active.values.toList().forEach(::stop)
+        }
+    }
+
+    private companion object {
+        const val COMPLETE_PERCENT = 100
+    }
+}
--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -0,0 +1,173 @@
+package org.anvilbarrow.kernel.jobs
+
+import org.anvilbarrow.protocol.jobs.UsedUpstreamRecord
+import org.anvilbarrow.protocol.model.UpstreamId
+import java.time.Duration
+
+/** Follows the list of upstreams, looks at each of them in turn and finds out when one is gone. */
+internal class UpstreamWatch(
+    private val state: CellState,
+    private val leases: Leases,
+    private val runs: RunDesk,
+) {
+    private val limits get() = state.limits
+
+    /** Upstreams on which an earlier owner may have started runs that were not seen yet. */
+    private val unseen = HashSet<UpstreamId>()
+
+    fun load(records: List<UsedUpstreamRecord>) {
+        records.forEach { record ->
+            val upstream = Upstream(record.upstream, record.address)
+            upstream.isRecorded = true
+            upstream.leasesLapseBy = leases.earlierOwnersLapseBy()
+            state.upstreams[record.upstream] = upstream
+            unseen += record.upstream
+        }
+    }
+
+    fun listed(entries: List<UpstreamEntry>) {
+        val byId = entries.associateBy { it.id }
+        entries.forEach { entry ->
+            val upstream = state.upstreams.getOrPut(entry.id) { discovered(entry) }
+            if (!upstream.isListed) state.decided("upstream-listed", upstream, "at ${entry.address}")
+            if (upstream.entry?.draining != true && entry.draining) state.decided("upstream-draining", upstream, "")
+            upstream.entry = entry
+            upstream.address = entry.address
+            upstream.isListed = true
+        }
+        state.upstreams.values.filter { it.isListed && it.id !in byId }.forEach {
+            it.isListed = false
+            state.decided("upstream-unlisted", it, "${it.runs.size} run(s)")
+        }
+        state.dispatchNeeded = true
+    }
+
+    /** Runs start on an upstream only after the store holds that it is used. */
+    private fun discovered(entry: UpstreamEntry): Upstream {
+        val upstream = Upstream(entry.id, entry.address)
+        state.journal.upstream(entry.id, UsedUpstreamRecord(entry.id, entry.address))
+        state.journal.afterStored {
+            upstream.isRecorded = true
+            state.dispatchNeeded = true
+        }
+        return upstream
+    }
+
+    fun observed(event: CellEvent.Observed) {
+        val upstream = state.upstreams[event.upstream] ?: return
+        upstream.lookOpen = false
+        when (val result = event.result) {
+            is Observation.Seen -> seen(upstream, event, result)
+            Observation.Displaced -> state.emit(CellEffect.Resign("upstream $upstream has a later token"))
+            Observation.OtherUpstream -> gone(upstream, "its address belongs to another upstream")
+            is Observation.Failed -> failed(upstream, result.reason)
+        }
+    }
+
+    private fun seen(
+        upstream: Upstream,
+        event: CellEvent.Observed,
+        result: Observation.Seen,
+    ) {
+        if (upstream.failedLooks > 0) state.decided("upstream-regained", upstream, "${upstream.failedLooks} look(s) failed")
+        upstream.failedLooks = 0
+        upstream.readClock(result.clockMillis, state.now)
+        if (upstream.life != result.life) {
+            if (upstream.life != null) state.decided("upstream-restarted", upstream, "life ${result.life}")
+            upstream.startLife(result.life)
+        }
+        val first = upstream.seenAt == null
+        upstream.seenAt = event.sentAt
+        runs.observed(upstream, event, result)
+        if (first) state.dispatchNeeded = true
+        if (unseen.remove(upstream.id)) openBarrier()
+        upstream.nextLookAt = if (first) state.now else state.now.plus(limits.observeGap)
+        acknowledgeAfterStored(upstream)
+    }
+
+    /** An end may be forgotten by its upstream only once it is stored. */
+    private fun acknowledgeAfterStored(upstream: Upstream) {
+        val end = upstream.seenEnd
+        if (end <= upstream.storedEnd) return
+        val life = upstream.life
+        state.journal.afterStored { if (upstream.life == life) upstream.storedEnd = maxOf(upstream.storedEnd, end) }
+    }
+
+    private fun failed(
+        upstream: Upstream,
+        reason: String,
+    ) {
+        upstream.failedLooks++
+        if (upstream.failedLooks == 1) state.decided("upstream-unreachable", upstream, reason)
+        upstream.nextLookAt = state.now.plus(limits.observeRetry)
+    }
+
+    fun tick() {
+        state.upstreams.values.toList().forEach { upstream ->
+            when {
+                upstream.failedLooks > 0 && leases.haveLapsed(upstream) -> unreachable(upstream)
+                !upstream.lookOpen && !state.now.isBefore(upstream.nextLookAt) -> look(upstream)
+            }
+        }
+    }
+
+    /** No lease of this owner runs there any more, so nothing of the shard does. */
+    private fun unreachable(upstream: Upstream) {
+        if (!upstream.isListed) return gone(upstream, "it is not listed and its leases have lapsed")
+        upstream.runs.values.toList().forEach { runs.lost(it, "the leases on $upstream have lapsed") }
+        if (unseen.remove(upstream.id)) openBarrier()
+        if (!upstream.lookOpen && !state.now.isBefore(upstream.nextLookAt)) look(upstream)
+    }
+
+    private fun gone(
+        upstream: Upstream,
+        reason: String,
+    ) {
+        state.decided("upstream-gone", upstream, reason)
+        upstream.runs.values.toList().forEach { runs.lost(it, "$upstream is gone") }
+        state.upstreams -= upstream.id
+        state.journal.upstream(upstream.id, null)
+        if (unseen.remove(upstream.id)) openBarrier()
+        state.dispatchNeeded = true
+    }
+
+    private fun openBarrier() {
+        if (unseen.isNotEmpty()) return
+        state.decided("takeover-complete", "token ${state.token}", "after ${Duration.between(state.claimedAt, state.now)}")
+        state.jobs.values.forEach { it.barred = false }
+        state.dispatchNeeded = true
+    }
+
+    /** True if jobs of an earlier owner have to wait. */
+    val hasUnseen: Boolean get() = unseen.isNotEmpty()
+
+    private fun look(upstream: Upstream) {
+        val unacknowledged = upstream.seenEnd > upstream.storedEnd
+        // A look would return the same ends again until they are acknowledged.
+        if (unacknowledged && !isRenewalDue(upstream)) return
+        upstream.lookOpen = true
+        val renews = upstream.seenAt != null && upstream.failedLooks < limits.failuresBeforeNoRenewal && leases.mayRenew()
+        state.emit(
+            CellEffect.Observe(
+                upstream = upstream.id,
+                address = upstream.address,
+                token = state.token,
+                acknowledgeUpTo = upstream.storedEnd,
+                leaseUntilMillis = if (renews) leases.grant(upstream) else null,
+                wait = if (upstream.seenAt == null || upstream.failedLooks > 0 || unacknowledged) Duration.ZERO else waitOf(upstream),
+            ),
+        )
+    }
+
+    /** Stops are seen as soon as they end; otherwise the upstream answers at the next end. */
+    private fun waitOf(upstream: Upstream): Duration =
+        if (upstream.runs.isEmpty()) limits.observeWait.multipliedBy(IDLE_FACTOR) else limits.observeWait
+
+    private fun isRenewalDue(upstream: Upstream): Boolean =
+        upstream.seenAt?.plus(limits.observeWait)?.isBefore(state.now) ?: true
+
+    private companion object {
+        /** An idle upstream has nothing to renew. */
+        const val IDLE_FACTOR = 1L
+    }
+}
--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
@@ -0,0 +1,295 @@
+package org.anvilbarrow.kernel.ownership
+
+import org.anvilbarrow.protocol.jobs.ClaimRecord
+import java.time.Duration
+import java.time.Instant
+
+/** Times of the claim to a shard. */
+@Suppress("MagicNumber") // The properties name the numbers.
+public data class ClaimLimits(
+    /** Interval in which an owner renews its claim. */
+    val renewal: Duration = Duration.ofMillis(700),
+    /** An owner that did not renew for this time is replaced: two renewals may be lost. */
+    val silence: Duration = Duration.ofMillis(1_800),
+    /** The same if the connection to the owner broke, which a dead process shows at once. */
+    val silenceAfterLinkLoss: Duration = Duration.ofMillis(1_200),
+    /** Shortest time that a read waits for a record. */
+    val minReadWait: Duration = Duration.ofMillis(50),
+    /** Pause after a read or append that failed. */
+    val retry: Duration = Duration.ofMillis(200),
+)
+
+/** What the process has to do for its claim. */
+public sealed interface ClaimEffect {
+    /** Read the newest claim and the end of the log. */
+    public data object ReadNewest : ClaimEffect
+
+    /** Read records from [from], waiting up to [wait] for one. */
+    public data class Read(
+        val from: Long,
+        val wait: Duration,
+    ) : ClaimEffect
+
+    /** Append [record] if the log ends at [at]. */
+    public data class Append(
+        val at: Long,
+        val record: ClaimRecord,
+    ) : ClaimEffect
+
+    /** This process owns the shard under [token]. */
+    public data class Acquired(
+        val token: Long,
+    ) : ClaimEffect
+
+    /** The store confirmed at [at] that this process is the owner. */
+    public data class Confirmed(
+        val at: Instant,
+    ) : ClaimEffect
+
+    /** This process does not own the shard any more. */
+    public data class Lost(
+        val reason: String,
+    ) : ClaimEffect
+
+    /** [owner] holds the newest claim, or nobody does. */
+    public data class OwnerChanged(
+        val owner: ClaimRecord?,
+    ) : ClaimEffect
+}
+
+/** Result of an append of a claim. */
+public sealed interface ClaimAppend {
+    public data object Appended : ClaimAppend
+
+    /** The log ends elsewhere; nothing was appended. */
+    public data object Conflict : ClaimAppend
+
+    /** Nothing was appended. */
+    public data object Rejected : ClaimAppend
+
+    /** The claim may have been appended or may be later. */
+    public data object Unanswered : ClaimAppend
+}
+
+/**
+ * Decides when this process claims a shard, renews its claim or gives it up.
+ *
+ * A claim is appended only where the log ended when it was read, so of two claimants one succeeds. The offset of the
+ * claim plus one is the fencing token.
+ */
+public class ShardClaim(
+    private val address: String,
+    private val incarnation: Long,
+    private val limits: ClaimLimits,
+) {
+    private var end: Long? = null
+    private var newest: ClaimRecord? = null
+    private var newsAt: Instant = Instant.MIN
+    private var linkLost = false
+    private var reading = false
+    private var nextReadAt: Instant = Instant.MIN
+    private var appendSentAt: Instant? = null
+    private var nextAppendAt: Instant = Instant.MIN
+    private var releasing = false
+
+    /** True if the log has changed in a way that this process has not read. */
+    private var mustRead = false
+    private var sent: ClaimEffect.Append? = null
+    private val effects = ArrayList<ClaimEffect>()
+
+    /** Token under which this process owns the shard, or null. */
+    public var token: Long? = null
+        private set
+
+    /** The newest claim that is not released. */
+    public val owner: ClaimRecord? get() = newest?.takeIf { !it.released }
+
+    /** The newest claim was read together with the end of the log. */
+    public fun newestRead(
+        endOffset: Long,
+        record: ClaimRecord?,
+        now: Instant,
+    ): List<ClaimEffect> =
+        turn(now) {
+            reading = false
+            // Records between two reads are news, whatever they were.
+            if (endOffset != end) newsAt = now
+            end = endOffset
+            record?.let { take(it, now) }
+            if (newest == null) effects += ClaimEffect.OwnerChanged(null)
+        }
+
+    /** A read from the known end returned [records] up to [endOffset]. */
+    public fun read(
+        endOffset: Long,
+        records: List<ClaimRecord>,
+        now: Instant,
+    ): List<ClaimEffect> =
+        turn(now) {
+            reading = false
+            end = maxOf(endOffset, end ?: 0)
+            records.forEach { take(it, now) }
+            if (records.isEmpty()) claimIfSilent(now)
+        }
+
+    /** A read failed; if [behind], the records that were asked for are gone. */
+    public fun readFailed(
+        behind: Boolean,
+        now: Instant,
+    ): List<ClaimEffect> =
+        turn(now) {
+            reading = false
+            nextReadAt = now.plus(limits.retry)
+            if (behind) end = null
+        }
+
+    /** The last append ended. */
+    public fun appended(
+        result: ClaimAppend,
+        now: Instant,
+    ): List<ClaimEffect> =
+        turn(now) {
+            val sentAt = appendSentAt ?: return@turn
+            appendSentAt = null
+            when (result) {
+                ClaimAppend.Appended -> appendTook(sentAt, now)
+                // The answer of a read, and not of the append, shows who wrote.
+                ClaimAppend.Conflict, ClaimAppend.Unanswered -> nextAppendAt = now.plus(limits.retry)
+                ClaimAppend.Rejected -> nextAppendAt = now.plus(limits.retry)
+            }
+            if (result != ClaimAppend.Appended) mustRead = true
+        }
+
+    private fun appendTook(
+        sentAt: Instant,
+        now: Instant,
+    ) {
+        val append = checkNotNull(sent) { "an append ended that was not sent" }
+        // A read may have returned the record before its append was answered.
+        end = maxOf(append.at + 1, end ?: 0)
+        take(append.record, now)
+        effects += ClaimEffect.Confirmed(sentAt)
+        nextAppendAt = sentAt.plus(limits.renewal)
+    }
+
+    /** The connection to the owner broke, or is back. */
+    public fun linkChanged(
+        lost: Boolean,
+        now: Instant,
+    ): List<ClaimEffect> = turn(now) { linkLost = lost }
+
+    /** Another part of the process found that a later owner exists. */
+    public fun displaced(
+        reason: String,
+        now: Instant,
+    ): List<ClaimEffect> =
+        turn(now) {
+            lose(reason)
+            mustRead = true
+            newsAt = now
+        }
+
+    /** Gives the shard up in a planned stop, and claims nothing any more. */
+    public fun release(now: Instant): List<ClaimEffect> = turn(now) { releasing = true }
+
+    /** Time passed. */
+    public fun tick(now: Instant): List<ClaimEffect> = turn(now) {}
+
+    private inline fun turn(
+        now: Instant,
+        change: () -> Unit,
+    ): List<ClaimEffect> {
+        change()
+        proceed(now)
+        return effects.toList().also { effects.clear() }
+    }
+
+    private fun proceed(now: Instant) {
+        renewOrRelease(now)
+        val owning = token != null
+        if (reading || now.isBefore(nextReadAt)) return
+        val from = end
+        if (from == null) {
+            reading = true
+            effects += ClaimEffect.ReadNewest
+        } else if (!owning || mustRead) {
+            reading = true
+            effects += ClaimEffect.Read(from, if (mustRead) Duration.ZERO else untilSilent(now))
+            mustRead = false
+        }
+    }
+
+    /** A read that returns empty after this time shows that the owner is silent. */
+    private fun untilSilent(now: Instant): Duration =
+        maxOf(limits.minReadWait, Duration.between(now, newsAt.plus(silence())))
+
+    private fun silence(): Duration = if (linkLost) limits.silenceAfterLinkLoss else limits.silence
+
+    private fun renewOrRelease(now: Instant) {
+        val held = token
+        val at = end ?: return
+        if (appendSentAt != null || mustRead || now.isBefore(nextAppendAt)) return
+        when {
+            held != null && releasing -> append(at, ClaimRecord(address, incarnation, held, released = true), now)
+            held != null -> append(at, ClaimRecord(address, incarnation, held), now)
+            isVacant() && !releasing && !reading -> claim(now)
+        }
+    }
+
+    /** True if no living process can hold the newest claim. */
+    private fun isVacant(): Boolean {
+        val claim = newest ?: return true
+        return claim.released || (claim.address == address && claim.incarnation != incarnation)
+    }
+
+    private fun claimIfSilent(now: Instant) {
+        val due = isVacant() || !now.isBefore(newsAt.plus(silence()))
+        if (token == null && due && !releasing && appendSentAt == null && !now.isBefore(nextAppendAt)) claim(now)
+    }
+
+    private fun claim(now: Instant) {
+        val at = end ?: return
+        append(at, ClaimRecord(address, incarnation, at + 1), now)
+    }
+
+    private fun append(
+        at: Long,
+        record: ClaimRecord,
+        now: Instant,
+    ) {
+        val effect = ClaimEffect.Append(at, record)
+        sent = effect
+        appendSentAt = now
+        effects += effect
+    }
+
+    /** Takes in a claim; one with a lower token is a late renewal of a displaced owner. */
+    private fun take(
+        record: ClaimRecord,
+        now: Instant,
+    ) {
+        newsAt = now
+        val before = newest
+        if (before != null && record.token < before.token) return
+        newest = record
+        linkLost = linkLost && before?.incarnation == record.incarnation
+        val mine = record.address == address && record.incarnation == incarnation
+        when {
+            mine && !record.released && token != record.token -> {
+                token = record.token
+                nextAppendAt = now.plus(limits.renewal)
+                effects += ClaimEffect.Acquired(record.token)
+            }
+            mine && record.released -> lose("released")
+            !mine && token != null -> lose("${record.address} claimed the shard with token ${record.token}")
+        }
+        val changed = before?.incarnation != record.incarnation || before.released != record.released
+        if (changed) effects += ClaimEffect.OwnerChanged(owner)
+    }
+
+    private fun lose(reason: String) {
+        if (token == null) return
+        token = null
+        effects += ClaimEffect.Lost(reason)
+    }
+}
--- /dev/null
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
@@ -0,0 +1,180 @@
+package org.anvilbarrow.kernel.jobs
+
+import org.anvilbarrow.kernel.jobs.JobWorld.Companion.step
+import org.anvilbarrow.protocol.jobs.JobAnswer
+import org.anvilbarrow.protocol.jobs.JobId
+import org.anvilbarrow.protocol.jobs.JobPhase
+import org.anvilbarrow.protocol.jobs.JobRequest
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isNull
+import java.time.Duration
+
+/** The owner of a shard against upstreams and a store that fail in the ways that the platform names. */
+class CellTest {
+    private val second = Duration.ofSeconds(1)
+
+    @Test
+    fun `a job is acknowledged after it is stored and runs its steps in order`() {
+        val world = JobWorld()
+        world.run(second)
+        val call = world.submit("a", step(3), step(2, dependsOn = intArrayOf(0)))
+        expectThat(world.answers[call]).isNull()
+        world.run(second.dividedBy(2))
+        expectThat(world.answers[call]).isEqualTo(JobAnswer.Accepted)
+        world.run(second.multipliedBy(4))
+        expectThat(world.phase("a")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.startsAt.size).isEqualTo(5)
+        expectThat(world.broken).isEmpty()
+    }
+
+    @Test
+    fun `a submission is refused at once while the store does not answer and never runs`() {
+        val world = JobWorld()
+        world.run(second)
+        world.storeDown = true
+        val first = world.submit("a", step(1))
+        world.run(second)
+        val second = world.submit("b", step(1))
+        world.run(Duration.ofMillis(1))
+        expectThat(world.answers[second]).isA<JobAnswer.Refused>()
+        world.run(Duration.ofSeconds(2))
+        expectThat(world.answers[first]).isA<JobAnswer.Unknown>()
+        world.storeDown = false
+        world.run(Duration.ofSeconds(5))
+        expectThat(world.phase("a")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.phase("b")).isNull()
+        expectThat(world.startsAt.size).isEqualTo(1)
+    }
+
+    @Test
+    fun `a successor adopts what runs and starts nothing twice`() {
+        val world = JobWorld()
+        world.run(second)
+        world.submit("a", step(8, millis = 3_000))
+        world.run(second)
+        world.takeOver()
+        world.run(second.multipliedBy(6))
+        expectThat(world.phase("a")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.startsAt.size).isEqualTo(8)
+        expectThat(world.broken).isEmpty()
+    }
+
+    @Test
+    fun `a task on an upstream that is cut off starts elsewhere only after its lease`() {
+        val world = JobWorld(workers = 2)
+        world.run(second)
+        world.submit("a", step(2, millis = 4_000, cpuMillicores = 60_000))
+        world.run(second)
+        world.cut += world.workers.keys.first()
+        world.run(second.multipliedBy(14))
+        expectThat(world.phase("a")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.broken).isEmpty()
+    }
+
+    @Test
+    fun `a start without an answer that is carried out late does not run a task twice`() {
+        val world = JobWorld(workers = 3, seed = 3)
+        world.lateShare = 0.3
+        world.run(second)
+        repeat(10) { world.submit("job$it", step(4, millis = 800)) }
+        world.run(second.multipliedBy(20))
+        repeat(10) { expectThat(world.phase("job$it")).isEqualTo(JobPhase.COMPLETED) }
+        expectThat(world.broken).isEmpty()
+    }
+
+    @Test
+    fun `an upstream that restarts under its id loses its runs and gets new ones`() {
+        val world = JobWorld(workers = 1)
+        world.run(second)
+        world.submit("a", step(3, millis = 2_000))
+        world.run(second)
+        world.workers.values
+            .first()
+            .restart()
+        world.run(second.multipliedBy(6))
+        expectThat(world.phase("a")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.broken).isEmpty()
+    }
+
+    @Test
+    fun `a cancelled job stops and starts nothing any more, also under a successor`() {
+        val world = JobWorld()
+        world.run(second)
+        world.submit("a", step(2, millis = 60_000), step(2, dependsOn = intArrayOf(0)))
+        world.run(second)
+        val call = world.ask(JobRequest.Cancel(JobId("a"), "q"))
+        world.run(Duration.ofMillis(100))
+        expectThat(world.answers[call]).isEqualTo(JobAnswer.Cancelled)
+        world.takeOver()
+        world.run(second.multipliedBy(5))
+        expectThat(world.phase("a")).isEqualTo(JobPhase.CANCELLED)
+        expectThat(world.workers.values.sumOf { it.running.size }).isEqualTo(0)
+        expectThat(world.broken).isEmpty()
+    }
+
+    @Test
+    fun `an upstream that fails everything is set aside before it uses up the attempts of many tasks`() {
+        val world = JobWorld(workers = 4)
+        world.workers.values
+            .first()
+            .failsEverything = true
+        world.run(second)
+        repeat(12) { world.submit("job$it", step(2, millis = 300)) }
+        world.run(second.multipliedBy(10))
+        repeat(12) { expectThat(world.phase("job$it")).isEqualTo(JobPhase.COMPLETED) }
+    }
+
+    @Test
+    fun `a task that fails everywhere ends its job as failed with a reason`() {
+        val world = JobWorld()
+        world.workers.values.forEach { it.failsEverything = true }
+        world.run(second)
+        world.submit("a", step(1, millis = 200))
+        world.run(second.multipliedBy(20))
+        expectThat(world.phase("a")).isEqualTo(JobPhase.FAILED)
+        expectThat(world.startsAt.size).isEqualTo(3)
+    }
+
+    @Test
+    fun `tasks that stand still are stopped and run elsewhere`() {
+        val world = JobWorld(workers = 2)
+        world.run(second)
+        world.workers.values
+            .first()
+            .hangs = true
+        world.submit("a", step(2, millis = 1_000, cpuMillicores = 60_000))
+        world.run(second.multipliedBy(14))
+        expectThat(world.phase("a")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.broken).isEmpty()
+    }
+
+    @Test
+    fun `a gang starts as one and only where the advice service allows it`() {
+        val terms = AdviceTerms(Duration.ofMillis(900), Duration.ofMillis(9), Duration.ofMillis(1_500))
+        val world = JobWorld(workers = 24, advice = terms, goodShare = 0.5)
+        world.run(second)
+        world.submit("a", step(8, cpuMillicores = 18_000, millis = 2_000, gang = true))
+        world.run(second.multipliedBy(5))
+        expectThat(world.phase("a")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(Duration.between(world.startsAt.first(), world.startsAt.last())).isLessThan(Duration.ofMillis(50))
+        expectThat(world.broken).isEmpty()
+    }
+
+    @Test
+    fun `finished jobs are forgotten after the retention`() {
+        val world = JobWorld()
+        world.run(second)
+        world.submit("a", step(1))
+        world.run(second.multipliedBy(5))
+        expectThat(world.store.keys.count { it.endsWith("/a") }).isGreaterThan(1)
+        world.run(Duration.ofSeconds(130))
+        expectThat(world.phase("a")).isNull()
+        expectThat(world.store.keys.count { it.endsWith("/a") }).isEqualTo(0)
+    }
+}
--- /dev/null
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
@@ -0,0 +1,126 @@
+package org.anvilbarrow.kernel.jobs
+
+import org.anvilbarrow.protocol.jobs.TaskRef
+import org.anvilbarrow.protocol.model.Resources
+import org.anvilbarrow.protocol.model.UpstreamId
+import java.time.Duration
+import java.time.Instant
+
+/** An upstream as PROTOCOL describes it: fencing, leases, room without a guard, and ends that are kept until acknowledged. */
+internal class FakeWorker(
+    val id: UpstreamId,
+    val capacity: Resources,
+    private val world: JobWorld,
+) {
+    class Execution(
+        val task: TaskRef,
+        val run: Long,
+        val startedAt: Instant,
+        val endsAt: Instant,
+        val size: Resources,
+    )
+
+    var life = 1L
+    var listed = true
+    var draining = false
+    var failsEverything = false
+    var hangs = false
+    private var bornAt = world.now
+    private var highestToken = 0L
+    private var leaseUntil = 0L
+    private var lastEnd = 0L
+    val running = LinkedHashMap<TaskRef, Execution>()
+    private val ended = ArrayList<EndedTask>()
+
+    fun listedEnds(): List<EndedTask> = ended
+    private val closedRuns = HashMap<TaskRef, Long>()
+
+    fun clock(): Long = Duration.between(bornAt, world.now).toMillis()
+
+    val entry: UpstreamEntry
+        get() = UpstreamEntry(id, "$id:1", "pool", "domain", capacity, draining = draining)
+
+    fun restart() {
+        running.clear()
+        ended.clear()
+        closedRuns.clear()
+        life++
+        bornAt = world.now
+        highestToken = 0
+        leaseUntil = 0
+        lastEnd = 0
+    }
+
+    private fun renew(until: Long?) {
+        if (until != null) leaseUntil = maxOf(leaseUntil, minOf(until, clock() + world.maxLease.toMillis()))
+    }
+
+    fun observe(order: CellEffect.Observe): Observation {
+        advance()
+        if (order.token < highestToken) return Observation.Displaced
+        highestToken = order.token
+        renew(order.leaseUntilMillis)
+        world.acknowledged(this, ended.filter { it.number <= order.acknowledgeUpTo })
+        ended.removeIf { it.number <= order.acknowledgeUpTo }
+        val rows = running.values.map { RunningTask(it.task, it.run, "", percent(it)) }
+        return Observation.Seen(clock(), life, rows, ended.toList())
+    }
+
+    private fun percent(execution: Execution): Int {
+        val whole = Duration.between(execution.startedAt, execution.endsAt).toMillis().coerceAtLeast(1)
+        val part = Duration.between(execution.startedAt, world.now).toMillis()
+        return if (hangs) 0 else (part * 100 / whole).toInt().coerceIn(0, 99)
+    }
+
+    fun start(order: CellEffect.Start): StartResult {
+        advance()
+        if (order.token < highestToken) return StartResult.Displaced
+        highestToken = order.token
+        renew(order.leaseUntilMillis)
+        val present = running[order.task]
+        return when {
+            present != null && present.run == order.run -> StartResult.Started
+            present != null || order.run <= (closedRuns[order.task] ?: 0) ->
+                StartResult.NotStarted(NotStartedReason.OLD)
+            order.leaseUntilMillis < clock() -> StartResult.NotStarted(NotStartedReason.LATE)
+            else -> begin(order)
+        }
+    }
+
+    private fun begin(order: CellEffect.Start): StartResult {
+        val spec = world.specOf(order.task)
+        val size = spec.resources
+        running[order.task] =
+            Execution(order.task, order.run, world.now, world.now.plusMillis(spec.estimatedMillis), size)
+        val used = running.values.fold(Resources.NONE) { sum, it -> sum + it.size }
+        world.started(this, order, used)
+        return StartResult.Started
+    }
+
+    fun stop(order: CellEffect.Stop): StopResult {
+        advance()
+        if (order.token < highestToken) return StopResult.DISPLACED
+        highestToken = order.token
+        closedRuns.merge(order.task, order.run, ::maxOf)
+        running[order.task]?.takeIf { it.run <= order.run }?.let { end(it, RunEnd.STOPPED) }
+        return StopResult.ACCEPTED
+    }
+
+    /** Ends what is due: finished runs and, after the lease, everything. */
+    fun advance() {
+        if (clock() > leaseUntil) running.values.toList().forEach { end(it, RunEnd.LAPSED) }
+        if (hangs) return
+        running.values.filter { !it.endsAt.isAfter(world.now) }.forEach {
+            end(it, if (failsEverything) RunEnd.FAILED else RunEnd.DONE)
+        }
+    }
+
+    private fun end(
+        execution: Execution,
+        how: RunEnd,
+    ) {
+        running -= execution.task
+        closedRuns.merge(execution.task, execution.run, ::maxOf)
+        ended += EndedTask(++lastEnd, execution.task, execution.run, how, "")
+    }
+}
--- /dev/null
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -0,0 +1,354 @@
+package org.anvilbarrow.kernel.jobs
+
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import org.anvilbarrow.protocol.jobs.JobAnswer
+import org.anvilbarrow.protocol.jobs.JobId
+import org.anvilbarrow.protocol.jobs.JobPhase
+import org.anvilbarrow.protocol.jobs.JobRequest
+import org.anvilbarrow.protocol.jobs.JobSpec
+import org.anvilbarrow.protocol.jobs.ProgressRecord
+import org.anvilbarrow.protocol.jobs.RecordCodec
+import org.anvilbarrow.protocol.jobs.StepRef
+import org.anvilbarrow.protocol.jobs.StepSpec
+import org.anvilbarrow.protocol.jobs.SubmissionRecord
+import org.anvilbarrow.protocol.jobs.TaskRef
+import org.anvilbarrow.protocol.jobs.Ticket
+import org.anvilbarrow.protocol.jobs.UsedUpstreamRecord
+import org.anvilbarrow.protocol.model.Resources
+import org.anvilbarrow.protocol.model.UpstreamId
+import java.time.Duration
+import java.time.Instant
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/**
+ * One shard with its upstreams and store on a controlled clock; every order takes [latency] each way.
+ *
+ * The world checks the rules as things happen and collects what was broken in [broken].
+ */
+internal class JobWorld(
+    workers: Int = 4,
+    seed: Int = 1,
+    val advice: AdviceTerms? = null,
+    private val goodShare: Double = 1.0,
+    private val limits: CellLimits = CellLimits(),
+    private val queues: List<QueueConfig> = listOf(queue("q", advice)),
+) {
+    private class Due(
+        val at: Instant,
+        val order: Long,
+        val task: () -> Unit,
+    )
+
+    var now: Instant = Instant.ofEpochSecond(1_000_000)
+    val maxLease: Duration = Duration.ofSeconds(10)
+    val random = Random(seed)
+    val latency: Duration = Duration.ofMillis(3)
+    val broken = ArrayList<String>()
+    val answers = HashMap<Long, JobAnswer>()
+    val decisions = ArrayList<CellEffect.Decided>()
+    val workers =
+        List(workers) { FakeWorker(UpstreamId("w$it"), Resources(64_000, 262_144), this) }.associateBy { it.id }
+
+    /** Newest record of each key. */
+    val store = LinkedHashMap<String, ByteArray>()
+    var storeDown = false
+
+    /** Upstreams that the owner cannot reach. */
+    val cut = HashSet<UpstreamId>()
+
+    /** Share of start orders that get no answer and are carried out after [lateBy]. */
+    var lateShare = 0.0
+    var lateBy: Duration = Duration.ofSeconds(3)
+    val startsAt = ArrayList<Instant>()
+    private val specs = HashMap<JobId, JobSpec>()
+    private val dueTasks = PriorityQueue<Due> { a, b -> compareValuesBy(a, b, { it.at }, { it.order }) }
+    private var lastOrder = 0L
+    private var lastCall = 0L
+    private var token = 0L
+    private var owner: Cell? = null
+    private var openStore: (() -> Unit)? = null
+    private val noted = HashSet<TaskRef>()
+    private val cancelledAt = HashMap<JobId, Instant>()
+
+    val cell: Cell get() = checkNotNull(owner) { "nobody owns the shard" }
+
+    init {
+        after(LIST_POLL, ::pollList)
+        after(TICK, ::tick)
+        takeOver()
+    }
+
+    fun after(
+        pause: Duration,
+        task: () -> Unit,
+    ) {
+        dueTasks += Due(now.plus(pause), ++lastOrder, task)
+    }
+
+    fun run(time: Duration) {
+        val end = now.plus(time)
+        while (dueTasks.isNotEmpty() && !dueTasks.peek().at.isAfter(end)) {
+            val due = dueTasks.poll()
+            now = maxOf(now, due.at)
+            workers.values.forEach { it.advance() }
+            due.task()
+        }
+        now = end
+    }
+
+    /** The owner dies, and another process takes the shard over at once. */
+    fun takeOver() {
+        token += 10
+        openStore = null
+        val loaded =
+            LoadedShard(
+                records(JobKeys.SUBMISSION, SubmissionRecord.serializer())
+                    .map { (id, submission) ->
+                        val progress = store[JobKeys.PROGRESS + id]
+                        LoadedJob(JobId(id), submission, progress?.let { RecordCodec.decode(ProgressRecord.serializer(), it) })
+                    }.toPersistentList(),
+                records(JobKeys.UPSTREAM, UsedUpstreamRecord.serializer()).map { it.second }.toPersistentList(),
+            )
+        val next = Cell(token, limits, loaded, now)
+        owner = next
+        give(CellEvent.Configured(CellConfig(1, persistentMapOf<String, QueueConfig>().putAll(queues.associateBy { it.name }))))
+        give(CellEvent.HelpersChanged(listOf("vm-1", "vm-2", "vm-3")))
+        give(CellEvent.Listed(workers.values.filter { it.listed }.map { it.entry }))
+    }
+
+    private fun <T> records(
+        prefix: String,
+        serializer: kotlinx.serialization.KSerializer<T>,
+    ): List<Pair<String, T>> =
+        store.filterKeys { it.startsWith(prefix) }.map { (key, value) ->
+            key.removePrefix(prefix) to checkNotNull(RecordCodec.decode(serializer, value))
+        }
+
+    fun give(event: CellEvent) {
+        val handling = cell
+        handling.confirmed(now)
+        handling.handle(event, now).forEach { carryOut(it, handling) }
+    }
+
+    private fun back(
+        from: Cell,
+        event: () -> CellEvent,
+    ): Unit = after(latency) { if (from === owner) give(event()) }
+
+    private fun tick() {
+        give(CellEvent.Tick)
+        after(TICK, ::tick)
+    }
+
+    private fun pollList() {
+        give(CellEvent.Listed(workers.values.filter { it.listed }.map { it.entry }))
+        after(LIST_POLL, ::pollList)
+    }
+
+    /** Sends [request] and returns the number of its answer in [answers]. */
+    fun ask(request: JobRequest): Long {
+        lastCall++
+        if (request is JobRequest.Submit) specs[request.job] = request.spec
+        if (request is JobRequest.Cancel) cancelledAt.putIfAbsent(request.job, now)
+        give(CellEvent.Requested(CallKey("test", lastCall), request))
+        return lastCall
+    }
+
+    fun submit(
+        id: String,
+        vararg steps: StepSpec,
+        queue: String = "q",
+    ): Long = ask(JobRequest.Submit(JobId(id), queue, JobSpec("payload of $id", steps.toList())))
+
+    fun phase(id: String): JobPhase? {
+        val call = ask(JobRequest.Status(JobId(id), jobsQueue(id)))
+        return (answers[call] as? JobAnswer.State)?.phase
+    }
+
+    private fun jobsQueue(id: String): String =
+        store[JobKeys.SUBMISSION + id]
+            ?.let { RecordCodec.decode(SubmissionRecord.serializer(), it)?.queue }
+            ?: queues.first().name
+
+    fun specOf(task: TaskRef): StepSpec = specs.getValue(task.step.job).steps[task.step.step]
+
+    private fun carryOut(
+        effect: CellEffect,
+        from: Cell,
+    ) {
+        when (effect) {
+            is CellEffect.Answer -> answers[effect.call.number] = effect.answer
+            is CellEffect.Decided -> decisions += effect
+            is CellEffect.Resign -> broken += "resigned: ${effect.reason}"
+            is CellEffect.Store -> append(effect, from)
+            is CellEffect.Advise -> advise(effect, from)
+            is CellEffect.Observe -> observe(effect, from)
+            is CellEffect.Start -> start(effect, from)
+            is CellEffect.Stop -> order(effect.upstream, from, { CellEvent.StopReturned(effect.upstream, effect.task, effect.run, it) }) {
+                it?.stop(effect) ?: StopResult.UNANSWERED
+            }
+        }
+    }
+
+    private fun append(
+        effect: CellEffect.Store,
+        from: Cell,
+    ) {
+        check(openStore == null) { "a second append while one is open" }
+        val task = {
+            openStore = null
+            effect.records.forEach { record ->
+                val value = record.value
+                if (value == null) store -= record.key else store[record.key] = value
+            }
+            back(from) { CellEvent.Stored }
+        }
+        openStore = task
+        attempt(task, from)
+    }
+
+    private fun attempt(
+        task: () -> Unit,
+        from: Cell,
+    ): Unit =
+        after(APPEND) {
+            if (openStore === task && from === owner) {
+                if (storeDown) attempt(task, from) else task()
+            }
+        }
+
+    private fun advise(
+        effect: CellEffect.Advise,
+        from: Cell,
+    ) {
+        val terms = checkNotNull(advice) { "advice was asked for without terms" }
+        after(terms.cost(effect.upstreams.size)) {
+            back(from) { CellEvent.Advised(effect.call, effect.upstreams.filter { isGood(effect.step, it) }.map { Ticket(it, "t") }) }
+        }
+    }
+
+    /** Whether [upstream] may run [step]; fixed for the step. */
+    fun isGood(
+        step: StepRef,
+        upstream: UpstreamId,
+    ): Boolean = Random(step.hashCode() * 31 + upstream.hashCode()).nextDouble() < goodShare
+
+    private fun observe(
+        effect: CellEffect.Observe,
+        from: Cell,
+    ) {
+        val sentAt = now
+        order(effect.upstream, from, { CellEvent.Observed(effect.upstream, sentAt, it) }, effect.wait.dividedBy(4)) {
+            it?.observe(effect) ?: Observation.Failed("cut")
+        }
+    }
+
+    private fun start(
+        effect: CellEffect.Start,
+        from: Cell,
+    ) {
+        if (random.nextDouble() < lateShare) {
+            after(lateBy) { workers.getValue(effect.upstream).start(effect) }
+            after(TIMEOUT) {
+                back(from) { CellEvent.StartReturned(effect.upstream, effect.task, effect.run, StartResult.Unanswered("late")) }
+            }
+            return
+        }
+        order(effect.upstream, from, { CellEvent.StartReturned(effect.upstream, effect.task, effect.run, it) }) {
+            it?.start(effect) ?: StartResult.Unanswered("cut")
+        }
+    }
+
+    private fun <T> order(
+        upstream: UpstreamId,
+        from: Cell,
+        event: (T) -> CellEvent,
+        wait: Duration = Duration.ZERO,
+        call: (FakeWorker?) -> T,
+    ) {
+        if (upstream in cut) {
+            after(TIMEOUT) { if (from === owner) give(event(call(null))) }
+            return
+        }
+        after(latency.plus(wait)) {
+            val reached = workers[upstream].takeIf { upstream !in cut }
+            val result = call(reached)
+            back(from) { event(result) }
+        }
+    }
+
+    fun started(
+        worker: FakeWorker,
+        order: CellEffect.Start,
+        used: Resources,
+    ) {
+        startsAt += now
+        val task = order.task
+        if (!used.fitsIn(worker.capacity)) broken += "LIMIT: ${worker.id} runs $used at $now"
+        if (task in noted) broken += "TWICE: $task starts after its end was acknowledged"
+        val elsewhere = workers.values.filter { it !== worker && task in it.running }
+        if (elsewhere.isNotEmpty()) broken += "TWICE: $task runs on ${elsewhere.map { it.id }} and ${worker.id}"
+        val spec = specs.getValue(task.step.job)
+        val missing = spec.steps[task.step.step].dependsOn.filter { !isStepDone(task, it) }
+        if (missing.isNotEmpty()) broken += "ORDER: $task starts before steps $missing"
+        val cancelled = cancelledAt[task.step.job]
+        if (cancelled != null && Duration.between(cancelled, now) > CANCEL) broken += "UNASKED: $task starts after its cancellation"
+        if (advice != null && !isGood(task.step, worker.id)) broken += "ROUTE: $task starts on ${worker.id}"
+        if (order.payload != spec.payload) broken += "UNASKED: $task starts with another payload"
+    }
+
+    private val endedDone = HashSet<TaskRef>()
+
+    private fun isStepDone(
+        task: TaskRef,
+        step: Int,
+    ): Boolean {
+        val spec = specs.getValue(task.step.job).steps[step]
+        val ref = task.step.copy(step = step)
+        workers.values.forEach { worker -> doneEnds(worker) }
+        val done = (0 until spec.tasks).count { TaskRef(ref, it) in endedDone }
+        return if (spec.gang) done > 0 else done == spec.tasks
+    }
+
+    private fun doneEnds(worker: FakeWorker) {
+        worker.listedEnds().filter { it.end == RunEnd.DONE }.forEach { endedDone += it.task }
+    }
+
+    fun acknowledged(
+        worker: FakeWorker,
+        ends: List<EndedTask>,
+    ) {
+        ends.filter { it.end == RunEnd.DONE }.forEach {
+            noted += it.task
+            endedDone += it.task
+            val progress = store[JobKeys.PROGRESS + it.task.step.job]
+            if (progress == null) broken += "LOST: ${it.task} ended on ${worker.id}, acknowledged before it was stored"
+        }
+    }
+
+    companion object {
+        private val TICK = Duration.ofMillis(50)
+        private val LIST_POLL = Duration.ofMillis(400)
+        private val APPEND = Duration.ofMillis(10)
+        private val TIMEOUT = Duration.ofMillis(900)
+        private val CANCEL = Duration.ofSeconds(3)
+
+        fun queue(
+            name: String,
+            advice: AdviceTerms? = null,
+            priority: Int = 1,
+            stretch: Double = 2.0,
+            target: Duration = Duration.ofSeconds(1),
+        ) = QueueConfig(name, "host", "/$name/", "pool", priority, 3, stretch, target, advice)
+
+        fun step(
+            tasks: Int,
+            cpuMillicores: Int = 4_000,
+            millis: Long = 1_000,
+            vararg dependsOn: Int,
+            gang: Boolean = false,
+        ) = StepSpec(tasks, Resources(cpuMillicores, 1_000), millis, dependsOn.toList(), gang)
+    }
+}
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/Main.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/Main.kt
@@ -6,6 +6,7 @@
 import org.anvilbarrow.scheduler.cli.CheckCommand
 import org.anvilbarrow.scheduler.cli.QuickstartCommand
 import org.anvilbarrow.scheduler.cli.RunCommand
+import org.anvilbarrow.scheduler.cli.ServeCommand
 import org.anvilbarrow.scheduler.cli.SettingsCommand
 import org.anvilbarrow.scheduler.cli.StandInCommand
 import org.anvilbarrow.scheduler.cli.StandInLogCommand
@@ -21,6 +22,6 @@
     val standIns =
         StandInCommand().subcommands(StandInUpstreamCommand(), StandInLogCommand(), StandInVmListCommand())
     Anvilbarrow()
-        .subcommands(RunCommand(), CheckCommand(), SettingsCommand(), standIns, QuickstartCommand())
+        .subcommands(RunCommand(), ServeCommand(), CheckCommand(), SettingsCommand(), standIns, QuickstartCommand())
         .main(args)
 }
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellParts.kt
@@ -0,0 +1,70 @@
+package org.anvilbarrow.scheduler.cell
+
+import org.anvilbarrow.adapters.cell.CellStore
+import org.anvilbarrow.adapters.cell.Later
+import org.anvilbarrow.adapters.cell.PlatformCatalog
+import org.anvilbarrow.adapters.cell.UpstreamCalls
+import org.anvilbarrow.kernel.jobs.CallKey
+import org.anvilbarrow.kernel.jobs.CellConfig
+import org.anvilbarrow.kernel.jobs.CellEffect
+import org.anvilbarrow.kernel.jobs.CellLimits
+import org.anvilbarrow.kernel.ownership.ClaimLimits
+import org.anvilbarrow.protocol.jobs.JobAnswer
+import org.anvilbarrow.protocol.jobs.Ticket
+import java.time.InstantSource
+
+/** Makes a call for advice for [shard] and passes the answer on, which is null if the call failed. */
+internal fun interface AdviceCaller {
+    fun advise(
+        shard: Int,
+        call: CellEffect.Advise,
+        done: (List<Ticket>?) -> Unit,
+    )
+}
+
+/** What a [ShardSeat] needs of its process. */
+internal class CellParts(
+    /** Address at which peers reach this process. */
+    val address: String,
+    /** Differs for every start of a process. */
+    val incarnation: Long,
+    val clock: InstantSource,
+    val later: Later,
+    val store: CellStore,
+    val upstreams: UpstreamCalls,
+    val catalog: PlatformCatalog,
+    private val adviceCaller: AdviceCaller,
+    val decisions: DecisionLog,
+    val cellLimits: CellLimits,
+    val claimLimits: ClaimLimits,
+    private val process: CellProcessView,
+) {
+    fun config(): CellConfig? = process.config
+
+    fun helpers(): List<String> = process.helpers
+
+    fun answer(
+        call: CallKey,
+        answer: JobAnswer,
+    ): Unit = process.answer(call, answer)
+
+    fun advise(
+        shard: Int,
+        call: CellEffect.Advise,
+        done: (List<Ticket>?) -> Unit,
+    ): Unit = adviceCaller.advise(shard, call, done)
+}
+
+/** What shards see of their process. */
+internal interface CellProcessView {
+    /** Configuration in force, or null before it is known. */
+    val config: CellConfig?
+
+    /** Addresses of the processes that can make calls for advice. */
+    val helpers: List<String>
+
+    fun answer(
+        call: CallKey,
+        answer: JobAnswer,
+    )
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
@@ -0,0 +1,141 @@
+package org.anvilbarrow.scheduler.cell
+
+import org.anvilbarrow.adapters.cell.JobGateway
+import org.anvilbarrow.kernel.jobs.CellConfig
+import org.anvilbarrow.protocol.jobs.JobAnswer
+import org.anvilbarrow.protocol.jobs.JobId
+import org.anvilbarrow.protocol.jobs.JobRequest
+import java.time.Duration
+import java.time.Instant
+import java.time.InstantSource
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ExecutionException
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * Hands requests of callers to the owners of their shards.
+ *
+ * Requests name a job by its id and may be sent again, so a request whose owner left is sent to the next one until the
+ * caller's time is up.
+ */
+internal class OwnerGateway(
+    private val shards: Int,
+    private val clock: InstantSource,
+    private val currentConfig: () -> CellConfig?,
+    /** Sends a request to the owner of a shard; returns the address it went to, or null if there is none. */
+    private val send: (shard: Int, call: Long, request: JobRequest) -> String?,
+) : JobGateway {
+    private class OpenCall(
+        val shard: Int,
+        val request: JobRequest,
+    ) {
+        val answer = CompletableFuture<JobAnswer>()
+
+        @Volatile
+        var sentTo: String? = null
+
+        @Volatile
+        var sentAt: Instant = Instant.MIN
+    }
+
+    private val open = ConcurrentHashMap<Long, OpenCall>()
+    private val lastCall = AtomicLong()
+
+    override fun config(): CellConfig? = currentConfig()
+
+    override fun ask(
+        request: JobRequest,
+        wait: Duration,
+    ): JobAnswer {
+        val job = jobOf(request) ?: return pending(request, wait)
+        return await(listOf(begin(shardOf(job), request)), wait).first()
+    }
+
+    private fun jobOf(request: JobRequest): JobId? =
+        when (request) {
+            is JobRequest.Submit -> request.job
+            is JobRequest.Status -> request.job
+            is JobRequest.Cancel -> request.job
+            is JobRequest.Pending -> null
+        }
+
+    private fun shardOf(job: JobId): Int = Math.floorMod(job.value.hashCode(), shards)
+
+    /** Counts of all shards are added; without one of them the sum is not known. */
+    private fun pending(
+        request: JobRequest,
+        wait: Duration,
+    ): JobAnswer {
+        val answers = await((0 until shards).map { begin(it, request) }, wait)
+        val counts = answers.filterIsInstance<JobAnswer.Count>()
+        return if (counts.size == shards) JobAnswer.Count(counts.sumOf { it.pending }) else answers.first { it !in counts }
+    }
+
+    private fun begin(
+        shard: Int,
+        request: JobRequest,
+    ): Long {
+        val number = lastCall.incrementAndGet()
+        val call = OpenCall(shard, request)
+        open[number] = call
+        forward(number, call)
+        return number
+    }
+
+    private fun forward(
+        number: Long,
+        call: OpenCall,
+    ) {
+        call.sentAt = clock.instant()
+        call.sentTo = send(call.shard, number, call.request)
+    }
+
+    private fun await(
+        numbers: List<Long>,
+        wait: Duration,
+    ): List<JobAnswer> {
+        val deadline = clock.instant().plus(wait)
+        return numbers.map { number ->
+            val call = open.getValue(number)
+            try {
+                val left = Duration.between(clock.instant(), deadline).toMillis().coerceAtLeast(0)
+                call.answer.get(left, TimeUnit.MILLISECONDS)
+            } catch (_: TimeoutException) {
+                JobAnswer.Unknown("the owner of shard ${call.shard} (${call.sentTo ?: "none"}) has not answered for $wait")
+            } catch (e: ExecutionException) {
+                JobAnswer.Unknown(e.toString())
+            } catch (e: InterruptedException) {
+                Thread.currentThread().interrupt()
+                JobAnswer.Unknown(e.toString())
+            } finally {
+                open -= number
+            }
+        }
+    }
+
+    /** Takes the answer to call [number]. */
+    fun answered(
+        number: Long,
+        answer: JobAnswer,
+    ) {
+        open[number]?.answer?.complete(answer)
+    }
+
+    /** Sends calls again whose owner changed, left or did not answer. */
+    fun resend(ownerOf: (Int) -> String?) {
+        val now = clock.instant()
+        open.forEach { (number, call) ->
+            val owner = ownerOf(call.shard)
+            val moved = owner != null && owner != call.sentTo
+            if (moved || Duration.between(call.sentAt, now) > RESEND) forward(number, call)
+        }
+    }
+
+    private companion object {
+        /** An owner answers within one append (70 ms from another region), unless the store is slow. */
+        val RESEND: Duration = Duration.ofMillis(800)
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardLoader.kt
@@ -0,0 +1,91 @@
+package org.anvilbarrow.scheduler.cell
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.collections.immutable.toPersistentList
+import org.anvilbarrow.adapters.cell.AppendCondition
+import org.anvilbarrow.adapters.cell.AppendOutcome
+import org.anvilbarrow.adapters.cell.KeyedRecord
+import org.anvilbarrow.adapters.cell.NewestOutcome
+import org.anvilbarrow.kernel.jobs.JobKeys
+import org.anvilbarrow.kernel.jobs.LoadedJob
+import org.anvilbarrow.kernel.jobs.LoadedShard
+import org.anvilbarrow.protocol.jobs.JobId
+import org.anvilbarrow.protocol.jobs.ProgressRecord
+import org.anvilbarrow.protocol.jobs.RecordCodec
+import org.anvilbarrow.protocol.jobs.SubmissionRecord
+import org.anvilbarrow.protocol.jobs.UsedUpstreamRecord
+import java.time.Duration
+
+private val log = KotlinLogging.logger("anvilbarrow.shard")
+
+/** Topic with the jobs; the partition is the shard. */
+internal const val JOB_TOPIC = "keyed.jobs"
+
+/** Shuts out the earlier owner of a shard and reads what it stored; tries again while [isWanted]. */
+internal class ShardLoader(
+    private val shard: Int,
+    private val token: Long,
+    private val parts: CellParts,
+    private val isWanted: () -> Boolean,
+) {
+    fun load(done: (LoadedShard, JournalWriter) -> Unit) {
+        if (!isWanted()) return
+        val condition = AppendCondition.Once(parts.address, token, 0)
+        parts.store.append(JOB_TOPIC, shard, emptyList(), condition).thenAccept { outcome ->
+            later {
+                when (outcome) {
+                    is AppendOutcome.Appended -> read(done)
+                    AppendOutcome.Fenced -> log.info { "event=takeover-fenced shard=$shard token=$token" }
+                    else -> retry("the token cannot be announced: $outcome", done)
+                }
+            }
+        }
+    }
+
+    private fun read(done: (LoadedShard, JournalWriter) -> Unit) {
+        parts.store.newest(JOB_TOPIC, shard).thenAccept { outcome ->
+            later {
+                when (outcome) {
+                    is NewestOutcome.Failed -> retry("the jobs cannot be read: ${outcome.detail}", done)
+                    is NewestOutcome.Complete ->
+                        if (isWanted()) done(decode(outcome.records), JournalWriter(shard, token, parts))
+                }
+            }
+        }
+    }
+
+    private fun retry(
+        reason: String,
+        done: (LoadedShard, JournalWriter) -> Unit,
+    ) {
+        log.warn { "event=takeover-retry shard=$shard token=$token detail=\"$reason\"" }
+        parts.later.run(RETRY) { load(done) }
+    }
+
+    private fun decode(records: List<KeyedRecord>): LoadedShard {
+        val values = records.mapNotNull { record -> record.value?.let { record.key to it } }.toMap()
+        val jobs =
+            values.filterKeys { it.startsWith(JobKeys.SUBMISSION) }.mapNotNull { (key, value) ->
+                val id = key.removePrefix(JobKeys.SUBMISSION)
+                val submission = RecordCodec.decode(SubmissionRecord.serializer(), value)
+                if (submission == null) log.error { "event=record-unreadable shard=$shard key=$key" }
+                val progress =
+                    values[JobKeys.PROGRESS + id]?.let { RecordCodec.decode(ProgressRecord.serializer(), it) }
+                submission?.let { LoadedJob(JobId(id), it, progress) }
+            }
+        val used =
+            values
+                .filterKeys { it.startsWith(JobKeys.UPSTREAM) }
+                .mapNotNull { RecordCodec.decode(UsedUpstreamRecord.serializer(), it.value) }
+        return LoadedShard(
+            jobs.sortedBy { it.submission.acceptedAtEpochMillis }.toPersistentList(),
+            used.toPersistentList(),
+        )
+    }
+
+    private fun later(task: () -> Unit): Unit = parts.later.run(Duration.ZERO, task)
+
+    private companion object {
+        val RETRY: Duration = Duration.ofMillis(200)
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
@@ -0,0 +1,241 @@
+package org.anvilbarrow.scheduler.cell
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.collections.immutable.toPersistentList
+import org.anvilbarrow.adapters.cell.AppendCondition
+import org.anvilbarrow.adapters.cell.AppendOutcome
+import org.anvilbarrow.adapters.cell.KeyedRecord
+import org.anvilbarrow.adapters.cell.NewestOutcome
+import org.anvilbarrow.adapters.cell.ReadOutcome
+import org.anvilbarrow.adapters.cell.TopicFollower
+import org.anvilbarrow.kernel.jobs.Cell
+import org.anvilbarrow.kernel.jobs.CellConfig
+import org.anvilbarrow.kernel.jobs.CellEffect
+import org.anvilbarrow.kernel.jobs.CellEvent
+import org.anvilbarrow.kernel.jobs.UpstreamEntry
+import org.anvilbarrow.kernel.ownership.ClaimAppend
+import org.anvilbarrow.kernel.ownership.ClaimEffect
+import org.anvilbarrow.kernel.ownership.ShardClaim
+import org.anvilbarrow.protocol.jobs.ClaimRecord
+import org.anvilbarrow.protocol.jobs.RecordCodec
+import java.time.Duration
+import java.time.Instant
+
+private val log = KotlinLogging.logger("anvilbarrow.shard")
+
+/**
+ * The part of a process in one shard: it watches the claim, and owns the shard while it holds the claim.
+ *
+ * Confined to the control thread.
+ */
+internal class ShardSeat(
+    private val shard: Int,
+    private val parts: CellParts,
+    private val onOwner: (ClaimRecord?) -> Unit,
+) {
+    private val claim = ShardClaim(parts.address, parts.incarnation, parts.claimLimits)
+    private val events = ArrayList<CellEvent>()
+    private val early = ArrayList<CellEvent.Requested>()
+    private var cell: Cell? = null
+    private var journal: JournalWriter? = null
+    private val upstreams = HashMap<String, UpstreamEntry>()
+    private val upstreamList =
+        TopicFollower(
+            parts.store,
+            parts.catalog.upstreamTopic,
+            0,
+            Duration.ZERO,
+            UPSTREAM_POLL,
+            parts.later,
+            ::upstreamRecords,
+        )
+
+    val isOwner: Boolean get() = claim.token != null
+
+    /** Figures of the owner for metrics, or null. */
+    val owned: Cell? get() = cell
+
+    fun tick(now: Instant) {
+        perform(claim.tick(now))
+        if (cell != null) events += CellEvent.Tick
+    }
+
+    fun release(now: Instant): Unit = perform(claim.release(now))
+
+    fun linkChanged(
+        lost: Boolean,
+        now: Instant,
+    ): Unit = perform(claim.linkChanged(lost, now))
+
+    fun configured(config: CellConfig) {
+        if (cell != null) events += CellEvent.Configured(config)
+    }
+
+    fun helpersChanged(helpers: List<String>) {
+        if (cell != null) events += CellEvent.HelpersChanged(helpers)
+    }
+
+    fun requested(event: CellEvent.Requested) {
+        when {
+            cell != null -> events += event
+            // The takeover ends within the time that callers wait.
+            isOwner && early.size < MAX_EARLY -> early += event
+        }
+    }
+
+    fun advised(event: CellEvent.Advised) {
+        if (cell != null) events += event
+    }
+
+    /** Handles what was collected since the last call. */
+    fun flush(now: Instant) {
+        val owner = cell ?: return
+        if (events.isEmpty()) return
+        val batch = events.toList()
+        events.clear()
+        owner.handle(batch, now).forEach { carryOut(it, owner) }
+    }
+
+    private fun perform(effects: List<ClaimEffect>): Unit = effects.forEach(::perform)
+
+    private fun perform(effect: ClaimEffect) {
+        when (effect) {
+            ClaimEffect.ReadNewest ->
+                parts.store.newest(CLAIM_TOPIC, shard).thenAccept { later { perform(newestClaim(it)) } }
+            is ClaimEffect.Read ->
+                parts.store.read(CLAIM_TOPIC, shard, effect.from, effect.wait).thenAccept {
+                    later { perform(readClaims(it)) }
+                }
+            is ClaimEffect.Append -> append(effect)
+            is ClaimEffect.Acquired -> acquired(effect.token)
+            is ClaimEffect.Confirmed -> cell?.confirmed(effect.at)
+            is ClaimEffect.Lost -> lost(effect.reason)
+            is ClaimEffect.OwnerChanged -> {
+                log.info { "event=owner-changed shard=$shard owner=${effect.owner?.address} token=${effect.owner?.token}" }
+                onOwner(effect.owner)
+            }
+        }
+    }
+
+    private fun append(effect: ClaimEffect.Append) {
+        val record = KeyedRecord(CLAIM_KEY, RecordCodec.encode(ClaimRecord.serializer(), effect.record))
+        parts.store.append(CLAIM_TOPIC, shard, listOf(record), AppendCondition.EndsAt(effect.at)).thenAccept {
+            val result =
+                when (it) {
+                    is AppendOutcome.Appended -> ClaimAppend.Appended
+                    is AppendOutcome.Unanswered -> ClaimAppend.Unanswered
+                    is AppendOutcome.Rejected -> ClaimAppend.Rejected
+                    else -> ClaimAppend.Conflict
+                }
+            later { perform(claim.appended(result, now())) }
+        }
+    }
+
+    private fun newestClaim(outcome: NewestOutcome): List<ClaimEffect> =
+        when (outcome) {
+            is NewestOutcome.Failed -> claim.readFailed(behind = false, now())
+            is NewestOutcome.Complete ->
+                claim.newestRead(outcome.endOffset, outcome.records.mapNotNull(::claimOf).lastOrNull(), now())
+        }
+
+    private fun readClaims(outcome: ReadOutcome): List<ClaimEffect> =
+        when (outcome) {
+            is ReadOutcome.Failed -> claim.readFailed(behind = false, now())
+            ReadOutcome.Behind -> claim.readFailed(behind = true, now())
+            // A read from beyond the end would wait for ever for records that are there already.
+            is ReadOutcome.Page if outcome.endOffset < outcome.nextOffset -> claim.readFailed(behind = true, now())
+            is ReadOutcome.Page -> claim.read(outcome.nextOffset, outcome.records.mapNotNull(::claimOf), now())
+        }
+
+    private fun claimOf(record: KeyedRecord): ClaimRecord? =
+        record.value?.takeIf { record.key == CLAIM_KEY }?.let { RecordCodec.decode(ClaimRecord.serializer(), it) }
+
+    private fun acquired(token: Long) {
+        log.info { "event=shard-acquired shard=$shard token=$token" }
+        ShardLoader(shard, token, parts) { claim.token == token }.load { loaded, writer ->
+            journal = writer
+            val owner = Cell(token, parts.cellLimits, loaded, now())
+            cell = owner
+            upstreams.clear()
+            parts.config()?.let { events += CellEvent.Configured(it) }
+            events += CellEvent.HelpersChanged(parts.helpers())
+            events += early
+            early.clear()
+            upstreamList.start()
+            log.info { "event=shard-loaded shard=$shard token=$token jobs=${loaded.jobs.size}" }
+        }
+    }
+
+    private fun lost(reason: String) {
+        log.info { "event=shard-lost shard=$shard detail=\"$reason\"" }
+        cell = null
+        journal?.close()
+        journal = null
+        events.clear()
+        early.clear()
+        upstreamList.stop()
+    }
+
+    private fun upstreamRecords(
+        records: List<KeyedRecord>,
+        complete: Boolean,
+    ) {
+        if (complete) upstreams.clear()
+        records.forEach { record ->
+            val entry = parts.catalog.upstream(record)
+            if (entry == null) upstreams -= record.key else upstreams[record.key] = entry
+        }
+        events += CellEvent.Listed(upstreams.values.toPersistentList())
+    }
+
+    private fun carryOut(
+        effect: CellEffect,
+        owner: Cell,
+    ) {
+        when (effect) {
+            is CellEffect.Observe -> {
+                val sentAt = now()
+                parts.upstreams.observe(effect).thenAccept { result ->
+                    back(owner) { CellEvent.Observed(effect.upstream, sentAt, result) }
+                }
+            }
+            is CellEffect.Start ->
+                parts.upstreams.start(effect).thenAccept { result ->
+                    back(owner) { CellEvent.StartReturned(effect.upstream, effect.task, effect.run, result) }
+                }
+            is CellEffect.Stop ->
+                parts.upstreams.stop(effect).thenAccept { result ->
+                    back(owner) { CellEvent.StopReturned(effect.upstream, effect.task, effect.run, result) }
+                }
+            is CellEffect.Advise -> parts.advise(shard, effect) { good -> back(owner) { CellEvent.Advised(effect.call, good) } }
+            is CellEffect.Store ->
+                journal?.write(effect.records) { stored ->
+                    back(owner) { if (stored) CellEvent.Stored else CellEvent.StoreFenced }
+                }
+            is CellEffect.Answer -> parts.answer(effect.call, effect.answer)
+            is CellEffect.Resign -> if (owner === cell) perform(claim.displaced(effect.reason, now()))
+            is CellEffect.Decided -> parts.decisions.write(effect.kind, effect.subject, effect.detail, now())
+        }
+    }
+
+    /** Events for an owner that has been replaced are dropped. */
+    private fun back(
+        owner: Cell,
+        event: () -> CellEvent,
+    ): Unit = later { if (owner === cell) events += event() }
+
+    private fun later(task: () -> Unit): Unit = parts.later.run(Duration.ZERO, task)
+
+    private fun now(): Instant = parts.clock.instant()
+
+    private companion object {
+        const val CLAIM_TOPIC = "keyed.shards"
+        const val CLAIM_KEY = "owner"
+
+        /** Pause between two reads of the upstream list; a leaving upstream may get no work after 3 s. */
+        val UPSTREAM_POLL: Duration = Duration.ofMillis(400)
+
+        /** Requests that wait for the end of a takeover. */
+        const val MAX_EARLY = 2_000
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/ServeCommand.kt
@@ -0,0 +1,73 @@
+package org.anvilbarrow.scheduler.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.path
+import org.anvilbarrow.adapters.cell.HttpCaller
+import org.anvilbarrow.adapters.platform.PlatformClientLimits
+import org.anvilbarrow.adapters.settings.CellSettings
+import org.anvilbarrow.adapters.settings.CellSettingsReader
+import org.anvilbarrow.adapters.settings.CellSettingsResult
+import org.anvilbarrow.platform.FrontRoutes
+import org.anvilbarrow.platform.PlatformAdvice
+import org.anvilbarrow.platform.PlatformRecords
+import org.anvilbarrow.platform.PlatformStore
+import org.anvilbarrow.platform.PlatformUpstreams
+import org.anvilbarrow.platform.ReadinessRoute
+import org.anvilbarrow.scheduler.cell.CellProcess
+import org.anvilbarrow.scheduler.cell.PlatformPorts
+import org.anvilbarrow.scheduler.process.MonotonicClock
+import sun.misc.Signal
+import java.time.Duration
+
+/** `anvilbarrow serve`. */
+internal class ServeCommand : CliktCommand(name = "serve") {
+    private val file by option("--settings", envvar = "ANVILBARROW_CONFIG", help = "INI file with the settings")
+        .path()
+        .required()
+
+    override fun help(context: Context): String = "Serves durable jobs on the operators' platform until SIGTERM."
+
+    override fun run() {
+        val settings = read()
+        val process = CellProcess(settings, ports(settings), MonotonicClock())
+        // The default action of SIGHUP would end the process.
+        Signal.handle(Signal("HUP")) { process.reload() }
+        untilTerminated(start = { process.start() }, stop = process::stop)
+    }
+
+    private fun read(): CellSettings =
+        when (val result = CellSettingsReader(file.toString(), readText(file)).read()) {
+            is CellSettingsResult.Valid -> result.settings
+            is CellSettingsResult.Invalid -> {
+                result.faults.forEach { echo(it, err = true) }
+                echo("$file: ${result.faults.size} fault(s)", err = true)
+                throw ProgramResult(BAD_SETTINGS_STATUS)
+            }
+        }
+
+    private fun ports(settings: CellSettings): PlatformPorts {
+        val http = HttpCaller("platform", LIMITS)
+        return PlatformPorts(
+            PlatformStore(settings.store, http),
+            PlatformUpstreams(http),
+            PlatformAdvice(settings.advice ?: settings.store, http),
+            PlatformRecords(),
+            ::FrontRoutes,
+            ::ReadinessRoute,
+        )
+    }
+
+    private companion object {
+        val LIMITS =
+            PlatformClientLimits(
+                connectTimeout = Duration.ofMillis(700),
+                // New connections are paid for.
+                idleTimeout = Duration.ofSeconds(60),
+                maxConnectionsPerAddress = 16,
+            )
+    }
+}
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/SettingsFile.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/SettingsFile.kt
@@ -14,14 +14,7 @@
 
 /** Reads the settings in [file], or prints every fault and ends the program. */
 internal fun CliktCommand.readSettings(file: Path): SchedulerSettings {
-    val text =
-        try {
-            Files.readString(file)
-        } catch (e: IOException) {
-            echo("$file cannot be read as UTF-8 text: ${e.message}", err = true)
-            throw ProgramResult(BAD_SETTINGS_STATUS)
-        }
-    when (val result = SettingsReader(file.toString(), text).read()) {
+    when (val result = SettingsReader(file.toString(), readText(file)).read()) {
         is SettingsResult.Valid -> return result.settings
         is SettingsResult.Invalid -> {
             result.faults.forEach { echo(it, err = true) }
@@ -30,3 +23,12 @@
         }
     }
 }
+
+/** Returns the content of [file], or ends the program. */
+internal fun CliktCommand.readText(file: Path): String =
+    try {
+        Files.readString(file)
+    } catch (e: IOException) {
+        echo("$file cannot be read as UTF-8 text: ${e.message}", err = true)
+        throw ProgramResult(BAD_SETTINGS_STATUS)
+    }
