Adopt a gang as a whole in a takeover and ask for advice about later upstreams

A successor checked a gang while only some of its members had been found, stopped those, and started the gang again while the others still ran. A gang that asked for advice when few upstreams were listed never asked about the rest and waited for ever.

Change: gangs of barred jobs are not checked; a run that is not wanted blocks its task (and its gang) until its end is certain; calls for advice name every listed upstream, and blocked steps ask about new ones.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
@@ -47,33 +47,37 @@
         val usable = state.upstreams.values.filter { it.isRecorded && it.isUsable(state.now) }
         val steps = state.ready.filter { it.job.queue in config.queues && !it.job.barred }
         steps.groupBy { config.queues.getValue(it.job.queue).pool }.forEach { (pool, waiting) ->
-            dispatchPool(waiting, usable.filter { it.entry?.pool == pool })
+            dispatchPool(pool, waiting, usable.filter { it.entry?.pool == pool })
         }
     }
 
+    /** Upstreams that calls for advice may name: the answer outlives a short outage of an upstream. */
+    private fun listed(pool: String): List<UpstreamId> =
+        state.upstreams.values
+            .filter { it.isListed && it.entry?.pool == pool && it.entry?.draining == false }
+            .map { it.id }
+
     private fun dispatchPool(
+        pool: String,
         steps: List<StepRun>,
         usable: List<Upstream>,
     ) {
-        val ids = usable.mapTo(HashSet()) { it.id }
+        val listed = listed(pool)
         val demands = ArrayList<Demand>()
         val rank = Ranking(state)
         for (step in steps) {
             val terms = rank.queueOf(step).advice
-            if (terms != null && needsFirstAdvice(step, ids)) {
-                ask(step, terms, ids.filter { it !in step.advice.asked })
+            if (terms != null && step.advice.good.isEmpty()) {
+                ask(step, terms, listed.filter { it !in step.advice.asked })
+                continue
             }
-            if (!step.job.stored || !isGangFree(step)) continue
-            if (terms != null && step.advice.good.isEmpty()) continue
-            demands += demandOf(step, rank, terms != null)
+            if (!step.job.stored) continue
+            demands += demandOf(step, rank, terms != null) ?: continue
         }
         val plan = Planner(usable.map(::room)).plan(demands)
-        carryOut(plan, rank)
+        carryOut(plan, rank, listed)
     }
 
-    /** A gang starts again only when no member of its last run is left. */
-    private fun isGangFree(step: StepRun) = !step.spec.gang || step.active.isEmpty()
-
     private fun room(upstream: Upstream): Room {
         val entry = checkNotNull(upstream.entry) { "$upstream is usable without an entry" }
         return Room(upstream.id, upstream.capacity, upstream.used, entry.labels, entry.rack)
@@ -83,8 +87,8 @@
         step: StepRun,
         rank: Ranking,
         advised: Boolean,
-    ): Demand {
-        val tasks = step.waiting.stream().toArray().toList()
+    ): Demand? {
+        val tasks = step.startable().ifEmpty { return null }
         return Demand(
             step = step,
             rank = rank.of(step),
@@ -96,17 +100,6 @@
         )
     }
 
-    private fun needsFirstAdvice(
-        step: StepRun,
-        usable: Set<UpstreamId>,
-    ): Boolean {
-        val advice = step.advice
-        if (advice.call != null || usable.isEmpty() || state.now.isBefore(advice.retryAt)) return false
-        if (advice.asked.isEmpty()) return true
-        // New upstreams are worth a call only if the known ones do not suffice.
-        return advice.good.none { it in usable } && usable.any { it !in advice.asked }
-    }
-
     private fun ask(
         step: StepRun,
         terms: AdviceTerms,
@@ -122,6 +115,7 @@
     private fun carryOut(
         plan: Plan,
         rank: Ranking,
+        listed: List<UpstreamId>,
     ) {
         plan.placements.groupBy { it.demand }.forEach { (demand, placements) ->
             val step = demand.step
@@ -135,6 +129,7 @@
         plan.ticketsNeeded.forEach { demand ->
             rank.queueOf(demand.step).advice?.let { ask(demand.step, it, usableGood(demand.step)) }
         }
+        askAboutMore(plan.blocked, rank, listed)
         keepFresh(plan.blocked, rank)
     }
 
@@ -143,6 +138,19 @@
     private fun usableGood(step: StepRun): List<UpstreamId> =
         step.advice.good.filter { state.upstreams[it]?.isUsable(state.now) == true }
 
+    /** Steps that do not fit where they may run ask about upstreams that came since their first call. */
+    private fun askAboutMore(
+        blocked: List<Demand>,
+        rank: Ranking,
+        listed: List<UpstreamId>,
+    ) {
+        for (demand in blocked) {
+            val terms = rank.queueOf(demand.step).advice ?: continue
+            val unknown = listed.filter { it !in demand.step.advice.asked }
+            if (unknown.isNotEmpty()) ask(demand.step, terms, usableGood(demand.step) + unknown)
+        }
+    }
+
     /** Keeps tickets of the first blocked steps valid whose calls are long, so that room is used at once. */
     private fun keepFresh(
         blocked: List<Demand>,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -95,6 +95,9 @@
 
     /** Current run of each task that has one. */
     val active = HashMap<Int, Run>()
+
+    /** Runs that are not wanted and not certainly gone yet; their tasks may not start. */
+    val strays = HashSet<Run>()
     val failures = HashMap<Int, Int>()
     val checkpoints = HashMap<Int, String>()
 
@@ -109,6 +112,13 @@
     val open: Boolean
         get() = spec.dependsOn.all { job.steps.getValue(StepRef(ref.job, ref.occurrence, it)).isDone }
 
+    /** Tasks that may be started now; a gang only when no member of an earlier run is left. */
+    fun startable(): List<Int> {
+        if (spec.gang && (active.isNotEmpty() || strays.isNotEmpty())) return emptyList()
+        val blocked = strays.mapTo(HashSet()) { it.task.index }
+        return waiting.stream().toArray().filter { it !in blocked }
+    }
+
     fun countOn(upstream: Upstream): Int = active.values.count { it.upstream === upstream }
 
     fun progress() =
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
@@ -209,6 +209,7 @@
             step.active[row.task.index] = run
             if (step.waiting.isEmpty) state.ready -= step
         } else {
+            step?.strays?.add(run)
             stop(run)
         }
     }
@@ -249,7 +250,10 @@
 
     private fun release(run: Run) {
         run.upstream.remove(run)
-        run.step?.let { step -> if (step.active[run.task.index] === run) step.active -= run.task.index }
+        run.step?.let { step ->
+            if (step.active[run.task.index] === run) step.active -= run.task.index
+            step.strays -= run
+        }
         state.dispatchNeeded = true
     }
 
@@ -268,7 +272,7 @@
                 }
             }
         state.jobs.values
-            .filter { !it.phase.isFinal }
+            .filter { !it.phase.isFinal && !it.barred }
             .flatMap { it.steps.values }
             .filter { it.spec.gang && it.active.isNotEmpty() && !it.isDone }
             .forEach(::checkGang)
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
@@ -166,6 +166,39 @@
         expectThat(world.broken).isEmpty()
     }
 
+    @Test
+    fun `a gang whose members are found one after the other is adopted as a whole`() {
+        val world = JobWorld(workers = 4)
+        world.run(second)
+        world.submit("a", step(4, cpuMillicores = 60_000, millis = 3_000, gang = true))
+        world.run(second)
+        val slow = world.workers.keys.last()
+        world.cut += slow
+        world.takeOver()
+        world.run(Duration.ofMillis(1_000))
+        world.cut -= slow
+        world.run(second.multipliedBy(10))
+        expectThat(world.phase("a")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.startsAt.size).isEqualTo(4)
+        expectThat(world.broken).isEmpty()
+    }
+
+    @Test
+    fun `a gang that does not fit where it may run asks about upstreams that come later`() {
+        val terms = AdviceTerms(Duration.ofMillis(20), Duration.ofMillis(1), Duration.ofMillis(1_500))
+        val world = JobWorld(workers = 4, advice = terms)
+        world.workers.values
+            .drop(1)
+            .forEach { it.listed = false }
+        world.run(second)
+        world.submit("a", step(4, cpuMillicores = 60_000, millis = 1_000, gang = true))
+        world.run(second)
+        world.workers.values.forEach { it.listed = true }
+        world.run(second.multipliedBy(4))
+        expectThat(world.phase("a")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.broken).isEmpty()
+    }
+
     @Test
     fun `finished jobs are forgotten after the retention`() {
         val world = JobWorld()
