Ask again for advice after a call that failed

A call for advice that failed left its upstreams marked as asked, so the step had no upstream to run on and never asked again.

Change: upstreams count as asked once a call is answered.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/AdviceDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/AdviceDesk.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.protocol.model.UpstreamId
 import java.time.Duration
 import java.time.Instant
 
@@ -14,6 +15,7 @@
 ) {
     private class OpenCall(
         val step: StepRun,
+        val named: List<UpstreamId>,
         val helper: Helper,
         val cost: Duration,
         val timeoutAt: Instant,
@@ -30,7 +32,7 @@
     private val open = HashMap<Long, OpenCall>()
     private var lastCall = 0L
 
-    /** Replaces the helpers; calls of those that left are answered by [expired]. */
+    /** Replaces the helpers; calls of those that left end by [expired]. */
     fun use(names: List<String>) {
         val known = helpers.associateBy { it.name }
         helpers = names.sorted().map { known[it] ?: Helper(it) }
@@ -43,9 +45,10 @@
         val timeout: Duration,
     )
 
-    /** Gives a call of [cost] about [step] to the helper that is free first, or returns null if all are busy. */
+    /** Gives a call of [cost] about [step] on the upstreams [named] to the helper that is free first, or returns null if all are busy. */
     fun place(
         step: StepRun,
+        named: List<UpstreamId>,
         cost: Duration,
         now: Instant,
     ): Placed? {
@@ -54,7 +57,7 @@
         helper.backlog = helper.backlog.plus(cost)
         helper.calls++
         lastCall++
-        open[lastCall] = OpenCall(step, helper, cost, now.plus(timeout))
+        open[lastCall] = OpenCall(step, named, helper, cost, now.plus(timeout))
         step.advice.call = lastCall
         return Placed(lastCall, helper.name, timeout)
     }
@@ -62,13 +65,19 @@
     /** True if a long call would be made at once. */
     fun hasIdleLongHelper(): Boolean = longHelpers().any { it.calls == 0 }
 
-    /** Returns the step of [call], or null if it was given up. */
-    fun answered(call: Long): StepRun? {
+    /** A call that ended. */
+    class Ended(
+        val step: StepRun,
+        val named: List<UpstreamId>,
+    )
+
+    /** Takes [call] off its helper; returns null if it was given up before. */
+    fun ended(call: Long): Ended? {
         val placed = open.remove(call) ?: return null
         placed.helper.backlog = placed.helper.backlog.minus(placed.cost)
         placed.helper.calls--
         if (placed.step.advice.call == call) placed.step.advice.call = null
-        return placed.step
+        return Ended(placed.step, placed.named)
     }
 
     /** Returns the calls that are overdue; they count as failed. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
@@ -18,13 +18,16 @@
         call: Long,
         good: List<Ticket>?,
     ) {
-        val step = desk.answered(call) ?: return
+        val ended = desk.ended(call) ?: return
+        val step = ended.step
         val advice = step.advice
         if (good == null) {
             advice.retryAt = state.now.plus(limits.orderRetry)
             state.decided("advice-failed", step, "call $call")
         } else {
             val terms = state.queueOf(step.job)?.advice ?: return
+            // Only an answer makes an upstream known; after a failed call it has to be asked about again.
+            advice.asked += ended.named
             advice.tickets.clear()
             good.forEach {
                 advice.good += it.upstream
@@ -107,8 +110,7 @@
     ) {
         val named = upstreams.take(MAX_NAMED)
         if (named.isEmpty() || step.advice.call != null || state.now.isBefore(step.advice.retryAt)) return
-        val placed = desk.place(step, terms.cost(named.size), state.now) ?: return
-        step.advice.asked += named
+        val placed = desk.place(step, named, terms.cost(named.size), state.now) ?: return
         state.emit(CellEffect.Advise(placed.call, placed.helper, step.ref, named, placed.timeout))
     }
 
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
@@ -199,6 +199,17 @@
         expectThat(world.broken).isEmpty()
     }
 
+    @Test
+    fun `a step whose first calls for advice fail asks again`() {
+        val terms = AdviceTerms(Duration.ofMillis(20), Duration.ofMillis(1), Duration.ofMillis(1_500))
+        val world = JobWorld(advice = terms)
+        world.run(second)
+        world.failingAdvice = 2
+        world.submit("a", step(1))
+        world.run(second.multipliedBy(5))
+        expectThat(world.phase("a")).isEqualTo(JobPhase.COMPLETED)
+    }
+
     @Test
     fun `finished jobs are forgotten after the retention`() {
         val world = JobWorld()
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -55,6 +55,9 @@
     val store = LinkedHashMap<String, ByteArray>()
     var storeDown = false
 
+    /** Calls for advice that fail from now on. */
+    var failingAdvice = 0
+
     /** Upstreams that the owner cannot reach. */
     val cut = HashSet<UpstreamId>()
 
@@ -224,7 +227,9 @@
         from: Cell,
     ) {
         val terms = checkNotNull(advice) { "advice was asked for without terms" }
+        val fails = failingAdvice-- > 0
         after(terms.cost(effect.upstreams.size)) {
+            if (fails) return@after back(from) { CellEvent.Advised(effect.call, null) }
             back(from) { CellEvent.Advised(effect.call, effect.upstreams.filter { isGood(effect.step, it) }.map { Ticket(it, "t") }) }
         }
     }
