Count a failed run once, and let callers know of a process that owns nothing

Change: failed runs are kept by their numbers; such a process answers that it is not the owner, and the request is refused with the time to come back if no owner got it. A stalled owner leaves callers to the next one.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -49,8 +49,13 @@
     val storeStall: Duration = Duration.ofMillis(700),
     /** When a caller that was refused for a stalled store may come back. */
     val stallRetryAfter: Duration = Duration.ofSeconds(1),
-    /** When a caller whose submission may be stored is told so. */
-    val storeAnswer: Duration = Duration.ofMillis(2_300),
+    /**
+     * When a caller whose submission may be stored is told so.
+     *
+     * Longer than callers wait: until then the process that the caller is connected to may get an answer from the next
+     * owner, which a caller can use and an unknown outcome cannot replace.
+     */
+    val storeAnswer: Duration = Duration.ofSeconds(10),
     /** Most jobs that are not finished. */
     val maxOpenJobs: Int = 20_000,
     /** Multiple of the latency objective after which a job is worth nothing. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -102,7 +102,9 @@
 
     /** Runs that are not wanted and not certainly gone yet; their tasks may not start. */
     val strays = HashSet<Run>()
-    val failures = HashMap<Int, Int>()
+
+    /** Numbers of the failed runs of each task. */
+    val failures = HashMap<Int, Set<Long>>()
     val checkpoints = HashMap<Int, String>()
 
     /** Upstreams on which runs of the step failed. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
@@ -248,7 +248,7 @@
             step.checkpoints[row.task.index] = row.checkpoint
             state.journal.changed(step.job)
         }
-        tasks.ended(step, row, upstream, run)
+        tasks.ended(step, row, upstream)
     }
 
     /** [run] is certainly not there, and did not end `done` as far as anyone will know. */
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/CellMessage.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/CellMessage.kt
@@ -142,6 +142,11 @@
         val pending: Int,
     ) : JobAnswer
 
+    /** The process that was asked does not own the shard and did nothing. */
+    @Serializable
+    @SerialName("not_owner")
+    public data object NotOwner : JobAnswer
+
     /** The request may or may not have taken effect. */
     @Serializable
     @SerialName("unknown")
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
@@ -48,8 +48,8 @@
     val step: Int,
     /** Words of a bit set with one bit for each task that is done. */
     val done: LongArray = LongArray(0),
-    /** Failed runs by task. */
-    val failures: Map<Int, Int> = emptyMap(),
+    /** Numbers of the failed runs by task; an end that is listed again after a takeover must not count twice. */
+    val failures: Map<Int, Set<Long>> = emptyMap(),
     /** Newest checkpoint by task. */
     val checkpoints: Map<Int, String> = emptyMap(),
     /** True if a task of the step was ever started. */
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
@@ -36,6 +36,9 @@
 
         private var closed = false
 
+        /** Times that the request was sent, less those that were answered with [JobAnswer.NotOwner]. */
+        private var effectiveSends = 0
+
         @Volatile
         var sentTo: String? = null
             private set
@@ -52,14 +55,24 @@
         ) {
             if (closed) return
             sentAt = now
-            sentTo = send() ?: sentTo
+            val to = send() ?: return
+            sentTo = to
+            effectiveSends++
+        }
+
+        /** The process that got the request is not the owner. */
+        @Synchronized
+        fun sentInVain() {
+            effectiveSends--
+            sentTo = null
         }
 
-        /** Keeps the request from being sent again and returns whether it was ever sent. */
+        /** Keeps the request from being sent again if no owner ever got it, and returns whether that is so. */
         @Synchronized
-        fun close(): Boolean {
+        fun closeIfUnsent(): Boolean {
+            if (effectiveSends > 0) return false
             closed = true
-            return sentTo != null
+            return true
         }
     }
 
@@ -128,16 +141,31 @@
         return numbers.map { number ->
             val call = open.getValue(number)
             try {
-                answer(call, start.plus(minOf(wait, OWNER_WAIT)))
-                    ?: answerIfUnsent(call)
-                    ?: answer(call, start.plus(wait))
-                    ?: JobAnswer.Unknown("the owner of shard ${call.shard} (${call.sentTo}) has not answered for $wait")
+                await(call, start, start.plus(wait))
             } finally {
                 open -= number
             }
         }
     }
 
+    /** Waits for an answer until [deadline], but gives up earlier while there is no owner to answer. */
+    private fun await(
+        call: OpenCall,
+        start: Instant,
+        deadline: Instant,
+    ): JobAnswer {
+        var until = start.plus(OWNER_WAIT)
+        while (until.isBefore(deadline)) {
+            answer(call, until)?.let { return it }
+            if (call.closeIfUnsent()) {
+                return JobAnswer.Refused("no owner of shard ${call.shard} is connected", RETRY_AFTER.toMillis())
+            }
+            until = until.plus(OWNER_WAIT)
+        }
+        return answer(call, deadline)
+            ?: JobAnswer.Unknown("the owner of shard ${call.shard} (${call.sentTo}) has not answered in time")
+    }
+
     /** Waits for the answer until [deadline]; returns null if there is none. */
     private fun answer(
         call: OpenCall,
@@ -155,18 +183,13 @@
             JobAnswer.Unknown(e.toString())
         }
 
-    /** A request that no owner was there for has had no effect, and has none after this. */
-    private fun answerIfUnsent(call: OpenCall): JobAnswer? {
-        if (call.sentTo != null || call.close()) return null
-        return JobAnswer.Refused("no owner of shard ${call.shard} is connected", RETRY_AFTER.toMillis())
-    }
-
     /** Takes the answer to call [number]. */
     fun answered(
         number: Long,
         answer: JobAnswer,
     ) {
-        open[number]?.answer?.complete(answer)
+        val call = open[number] ?: return
+        if (answer == JobAnswer.NotOwner) call.sentInVain() else call.answer.complete(answer)
     }
 
     /** Sends calls again whose owner changed, left or did not answer. */
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
@@ -17,6 +17,7 @@
 import org.anvilbarrow.kernel.ownership.ClaimEffect
 import org.anvilbarrow.kernel.ownership.ShardClaim
 import org.anvilbarrow.protocol.jobs.ClaimRecord
+import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.RecordCodec
 import java.time.Duration
 import java.time.Instant
@@ -80,6 +81,7 @@
             cell != null -> events += event
             // The takeover ends within the time that callers wait.
             isOwner && early.size < MAX_EARLY -> early += event
+            else -> parts.answer(event.call, JobAnswer.NotOwner)
         }
     }
 
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/DecisionLogTest.kt
@@ -0,0 +1,25 @@
+package org.anvilbarrow.scheduler.cell
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import java.time.Instant
+
+/** The budget of the decision log: a burst of one kind must not flood the log or hide other kinds. */
+class DecisionLogTest {
+    private val lines = ArrayList<String>()
+    private val log = DecisionLog(linesPerSecond = 2, write = lines::add)
+    private val start = Instant.ofEpochSecond(100)
+
+    @Test
+    fun `lines above the budget are counted and other kinds are still written`() {
+        repeat(5) { log.write("run-lost", "task$it", "", start) }
+        log.write("job-failed", "a", "reason", start)
+        expectThat(lines).hasSize(3)
+        log.write("run-lost", "later", "", start.plusSeconds(1))
+        expectThat(lines).contains("event=left-out subject=run-lost detail=\"3 line(s)\"")
+        expectThat(lines.last()).isEqualTo("event=run-lost subject=later detail=\"\"")
+    }
+}
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
@@ -0,0 +1,87 @@
+package org.anvilbarrow.scheduler.cell
+
+import org.anvilbarrow.protocol.jobs.JobAnswer
+import org.anvilbarrow.protocol.jobs.JobId
+import org.anvilbarrow.protocol.jobs.JobRequest
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import java.time.Duration
+import java.time.InstantSource
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** Requests of callers while owners answer, change and are missing. */
+class OwnerGatewayTest {
+    private val sent = CopyOnWriteArrayList<Long>()
+
+    @Volatile
+    private var owner: String? = "a"
+    private val gateway =
+        OwnerGateway(2, InstantSource.system(), { null }) { _, call, _ ->
+            owner?.also { sent += call }
+        }
+    private val status = JobRequest.Status(JobId("5c0e7a21d94b36f8"), "q")
+    private val wait = Duration.ofMillis(1_500)
+
+    private fun ask(request: JobRequest) = CompletableFuture.supplyAsync { gateway.ask(request, wait) }
+
+    private fun awaitSent(count: Int) {
+        val deadline = System.nanoTime() + Duration.ofSeconds(5).toNanos()
+        while (sent.size < count && System.nanoTime() < deadline) Thread.onSpinWait()
+        expectThat(sent.size >= count).isTrue()
+    }
+
+    @Test
+    fun `an answer of the owner is handed to the caller`() {
+        val answer = ask(status)
+        awaitSent(1)
+        gateway.answered(sent.first(), JobAnswer.NotFound)
+        expectThat(answer.join()).isEqualTo(JobAnswer.NotFound)
+    }
+
+    @Test
+    fun `a request that no owner was there for is refused and not sent afterwards`() {
+        owner = null
+        expectThat(gateway.ask(status, wait)).isA<JobAnswer.Refused>()
+        owner = "a"
+        gateway.resend { "a" }
+        expectThat(sent).hasSize(0)
+    }
+
+    @Test
+    fun `a request that was sent and not answered has an unknown outcome`() {
+        expectThat(gateway.ask(status, Duration.ofMillis(700))).isA<JobAnswer.Unknown>()
+    }
+
+    @Test
+    fun `a request whose owner changed is sent to the next one`() {
+        val answer = ask(status)
+        awaitSent(1)
+        owner = "b"
+        gateway.resend { "b" }
+        awaitSent(2)
+        gateway.answered(sent.last(), JobAnswer.Accepted)
+        expectThat(answer.join()).isEqualTo(JobAnswer.Accepted)
+    }
+
+    @Test
+    fun `a request that only a process without the shard got is refused`() {
+        val answer = ask(status)
+        awaitSent(1)
+        owner = null
+        gateway.answered(sent.first(), JobAnswer.NotOwner)
+        expectThat(answer.join()).isA<JobAnswer.Refused>()
+    }
+
+    @Test
+    fun `pending jobs of all shards are added`() {
+        val answer = ask(JobRequest.Pending("q"))
+        awaitSent(2)
+        sent.forEach { gateway.answered(it, JobAnswer.Count(3)) }
+        expectThat(answer.join()).isEqualTo(JobAnswer.Count(6))
+    }
+}
