Give a shard up when its owner's state is broken

An exception in the owner's step loses the effects of that step, an open append among them, and nothing takes the shard away.

Change: a step that throws makes the owner give the shard up, and the next owner starts from what is stored. Results of calls never complete exceptionally, as a reader that waits for one would stop for ever.

--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/HttpCaller.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/HttpCaller.kt
@@ -50,15 +50,29 @@
 ) : AutoCloseable {
     private val transport = JettyTransport(name, limits)
 
-    /** Sends [call] once; the result never completes exceptionally. */
+    /**
+     * Sends [call] once; the result never completes exceptionally.
+     *
+     * A caller that waits for a result which never comes would wait for ever, so whatever Jetty throws is a result.
+     */
+    @Suppress("TooGenericExceptionCaught")
     public fun send(call: HttpCall): CompletableFuture<HttpReply> {
         val reply = CompletableFuture<HttpReply>()
-        val uri =
-            try {
-                URI(call.url)
-            } catch (e: URISyntaxException) {
-                return CompletableFuture.completedFuture(HttpReply.NoAnswer("'${call.url}' is no URL: ${e.message}"))
-            }
+        try {
+            send(call, reply)
+        } catch (e: URISyntaxException) {
+            reply.complete(HttpReply.NoAnswer("'${call.url}' is no URL: ${e.message}"))
+        } catch (e: RuntimeException) {
+            reply.complete(HttpReply.NoAnswer(e.toString()))
+        }
+        return reply
+    }
+
+    private fun send(
+        call: HttpCall,
+        reply: CompletableFuture<HttpReply>,
+    ) {
+        val uri = URI(call.url)
         val request =
             transport
                 .newRequest(uri)
@@ -73,7 +87,6 @@
                 }
             },
         )
-        return reply
     }
 
     private fun replyOf(
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
@@ -95,9 +95,24 @@
         if (events.isEmpty()) return
         val batch = events.toList()
         events.clear()
-        owner.handle(batch, now).forEach { carryOut(it, owner) }
+        handle(owner, batch, now).forEach { carryOut(it, owner) }
     }
 
+    /** An owner whose invariants are broken gives the shard up; the next one starts from what is stored. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun handle(
+        owner: Cell,
+        batch: List<CellEvent>,
+        now: Instant,
+    ): List<CellEffect> =
+        try {
+            owner.handle(batch, now)
+        } catch (e: RuntimeException) {
+            log.error(e) { "event=shard-broken shard=$shard" }
+            perform(claim.displaced("the owner's state is broken: $e", now))
+            emptyList()
+        }
+
     private fun perform(effects: List<ClaimEffect>): Unit = effects.forEach(::perform)
 
     private fun perform(effect: ClaimEffect) {
