--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellParts.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellParts.kt
@@ -29,6 +29,8 @@
     val address: String,
     /** Differs for every start of a process. */
     val incarnation: Long,
+    /** Number of shards of the cell. */
+    val shards: Int,
     val clock: InstantSource,
     val later: Later,
     val store: CellStore,
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
@@ -91,6 +91,7 @@
         CellParts(
             address,
             incarnation,
+            settings.shards,
             clock,
             control,
             ports.store,
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
@@ -204,12 +204,16 @@
     ) {
         if (complete) upstreams.clear()
         records.forEach { record ->
-            val entry = parts.catalog.upstream(record)
+            val entry = parts.catalog.upstream(record)?.takeIf(::isOfShard)
             if (entry == null) upstreams -= record.key else upstreams[record.key] = entry
         }
         events += CellEvent.Listed(upstreams.values.toPersistentList())
     }
 
+    /** Racks are not split, as some gangs are faster on one rack. */
+    private fun isOfShard(entry: UpstreamEntry): Boolean =
+        Math.floorMod((entry.rack ?: entry.id.value).hashCode(), parts.shards) == shard
+
     private fun carryOut(
         effect: CellEffect,
         owner: Cell,
