Finish a takeover whose announcement had no answer

An owner announces its token with an empty append; if the answer is lost, the copy is answered with a sequence fault, and the owner repeated it for ever while it renewed its claim. A fenced announcement also left it waiting.

Change: a sequence fault counts as announced, as a later epoch is told as fenced; a fenced owner gives the shard up.

--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardLoader.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardLoader.kt
@@ -27,6 +27,8 @@
     private val token: Long,
     private val parts: CellParts,
     private val isWanted: () -> Boolean,
+    /** Called if a later owner has written. */
+    private val onFenced: () -> Unit,
 ) {
     fun load(done: (LoadedShard, JournalWriter) -> Unit) {
         if (!isWanted()) return
@@ -34,8 +36,9 @@
         parts.store.append(JOB_TOPIC, shard, emptyList(), condition).thenAccept { outcome ->
             later {
                 when (outcome) {
-                    is AppendOutcome.Appended -> read(done)
-                    AppendOutcome.Fenced -> log.info { "event=takeover-fenced shard=$shard token=$token" }
+                    // An announcement whose answer was lost has set the epoch; a later epoch would be told as fenced.
+                    is AppendOutcome.Appended, is AppendOutcome.OutOfSequence -> read(done)
+                    AppendOutcome.Fenced -> onFenced()
                     else -> retry("the token cannot be announced: $outcome", done)
                 }
             }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
@@ -174,7 +174,8 @@
         earlierOwnersEnded: Boolean,
     ) {
         log.info { "event=shard-acquired shard=$shard token=$token" }
-        ShardLoader(shard, token, parts) { claim.token == token }.load { loaded, writer ->
+        val fenced = { if (claim.token == token) perform(claim.displaced("the store has seen a later owner", now())) }
+        ShardLoader(shard, token, parts, { claim.token == token }, fenced).load { loaded, writer ->
             journal = writer
             val owner = Cell(token, parts.cellLimits, loaded.copy(earlierOwnersEnded = earlierOwnersEnded), now())
             cell = owner
