Remove what the job path said twice or never used

Found on a read of the whole change; behaviour stays as it is.

One record type for keyed topics instead of a copy in the kernel and one in the adapters. Stopping all runs of a step, losing all runs of an upstream, giving way to a later token, posting to the control thread and printing faults of settings each stood two or three times and now stand once. Fields and functions that nothing read are gone, and a factor of 1. The planner works out the size class of a step once, and not in each comparison of two upstreams.

--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/CellStore.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/CellStore.kt
@@ -1,14 +1,9 @@
 package org.anvilbarrow.adapters.cell
 
+import org.anvilbarrow.protocol.jobs.KeyedRecord
 import java.time.Duration
 import java.util.concurrent.CompletableFuture
 
-/** A record of a keyed topic: the newest one of each key is kept; without a [value] the key is dropped. */
-public class KeyedRecord(
-    public val key: String,
-    public val value: ByteArray?,
-)
-
 /** When an append takes effect. */
 public sealed interface AppendCondition {
     /** Only if the partition ends at [offset]. */
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/HttpCaller.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/HttpCaller.kt
@@ -34,7 +34,6 @@
     public class Replied(
         public val status: Int,
         public val body: ByteArray,
-        public val headers: (String) -> String?,
     ) : HttpReply
 
     /** No usable answer arrived; the call may have had its effect. */
@@ -96,7 +95,7 @@
         if (result.isFailed) {
             HttpReply.NoAnswer(result.failure.toString())
         } else {
-            HttpReply.Replied(result.response.status, content) { result.response.headers.get(it) }
+            HttpReply.Replied(result.response.status, content)
         }
 
     override fun close(): Unit = transport.close()
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/TopicFollower.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/TopicFollower.kt
@@ -1,6 +1,7 @@
 package org.anvilbarrow.adapters.cell
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.anvilbarrow.protocol.jobs.KeyedRecord
 import java.time.Duration
 
 private val log = KotlinLogging.logger("anvilbarrow.store")
@@ -34,9 +35,6 @@
     private var failures = 0
     private var generation = 0
 
-    /** True once all records were read. */
-    public val isCurrent: Boolean get() = next != null
-
     public fun start() {
         if (running) return
         running = true
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/UpstreamCalls.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/UpstreamCalls.kt
@@ -6,6 +6,7 @@
 import org.anvilbarrow.kernel.jobs.StartResult
 import org.anvilbarrow.kernel.jobs.StopResult
 import org.anvilbarrow.kernel.jobs.UpstreamEntry
+import org.anvilbarrow.protocol.jobs.KeyedRecord
 import org.anvilbarrow.protocol.jobs.StepRef
 import org.anvilbarrow.protocol.jobs.Ticket
 import org.anvilbarrow.protocol.model.UpstreamId
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -1,7 +1,5 @@
 package org.anvilbarrow.kernel.jobs
 
-import org.anvilbarrow.protocol.jobs.JobId
-import org.anvilbarrow.protocol.jobs.JobPhase
 import java.time.Instant
 
 /**
@@ -15,18 +13,13 @@
  */
 public class Cell(
     token: Long,
-    private val limits: CellLimits,
+    limits: CellLimits,
     loaded: LoadedShard,
     now: Instant,
 ) {
     private val state = CellState(token, limits, now)
     private val leases = Leases(state)
-    private val jobs: JobDesk =
-        JobDesk(state) { step ->
-            step.active.values
-                .toList()
-                .forEach { runs.stop(it) }
-        }
+    private val jobs: JobDesk = JobDesk(state) { runs.stopAll(it) }
     private val outcomes = TaskOutcomes(state, jobs)
     private val runs: RunDesk = RunDesk(state, leases, outcomes)
     private val watch = UpstreamWatch(state, leases, runs)
@@ -56,9 +49,6 @@
     /** Steps that wait for room or advice. */
     public val waitingSteps: Int get() = state.ready.size
 
-    /** Returns the phase of a job as its owner decided it, or null. */
-    internal fun phaseOf(job: JobId): JobPhase? = state.jobs[job]?.phase
-
     /** The store confirmed at [at] that this owner's claim is the newest. */
     public fun confirmed(at: Instant) {
         state.confirmedAt = at
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellEffect.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellEffect.kt
@@ -1,6 +1,7 @@
 package org.anvilbarrow.kernel.jobs
 
 import org.anvilbarrow.protocol.jobs.JobAnswer
+import org.anvilbarrow.protocol.jobs.KeyedRecord
 import org.anvilbarrow.protocol.jobs.StepRef
 import org.anvilbarrow.protocol.jobs.TaskRef
 import org.anvilbarrow.protocol.model.UpstreamId
@@ -53,7 +54,7 @@
 
     /** Stores [records] all or none; answered by [CellEvent.Stored]. At most one is open. */
     public data class Store(
-        val records: List<StoredRecord>,
+        val records: List<KeyedRecord>,
     ) : CellEffect
 
     public data class Answer(
@@ -73,9 +74,3 @@
         val detail: String,
     ) : CellEffect
 }
-
-/** A record of the shard's topic; without a [value] the key is dropped. */
-public class StoredRecord(
-    public val key: String,
-    public val value: ByteArray?,
-)
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
@@ -43,6 +43,9 @@
         detail: String,
     ): Unit = emit(CellEffect.Decided(kind, subject.toString(), detail))
 
+    /** An upstream that has seen a higher token shows that another process owns the shard. */
+    fun displacedAt(upstream: UpstreamId): Unit = emit(CellEffect.Resign("upstream $upstream has a later token"))
+
     fun takeEffects(): List<CellEffect> = collected.also { collected = ArrayList() }
 
     fun queueOf(job: JobRun): QueueConfig? = config?.queues?.get(job.queue)
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -176,9 +176,6 @@
     var nextOrderAt: Instant = Instant.MIN
     var percent = 0
     var progressedAt: Instant = Instant.MIN
-
-    /** True if an upstream has listed the run as running. */
-    var listed = false
 }
 
 /** What the advice service said of a step. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Journal.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Journal.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.protocol.jobs.KeyedRecord
 import org.anvilbarrow.protocol.jobs.ProgressRecord
 import org.anvilbarrow.protocol.jobs.RecordCodec
 import org.anvilbarrow.protocol.jobs.SubmissionRecord
@@ -67,7 +68,7 @@
     }
 
     /** Returns the next batch, or null if one is open or nothing changed. */
-    fun next(now: Instant): List<StoredRecord>? {
+    fun next(now: Instant): List<KeyedRecord>? {
         if (openSince != null) return null
         val records = takeRecords()
         if (records.isEmpty()) {
@@ -83,10 +84,10 @@
         return records
     }
 
-    private fun takeRecords(): List<StoredRecord> {
-        val records = ArrayList<StoredRecord>()
+    private fun takeRecords(): List<KeyedRecord> {
+        val records = ArrayList<KeyedRecord>()
         submissions.mapTo(records) {
-            StoredRecord(
+            KeyedRecord(
                 JobKeys.SUBMISSION + it.id,
                 RecordCodec.encode(SubmissionRecord.serializer(), it.submission),
             )
@@ -94,17 +95,17 @@
         changed.filter { it !in forgotten }.mapTo(records) { job ->
             val phase = job.phase
             afterNext += { job.storedPhase = phase }
-            StoredRecord(
+            KeyedRecord(
                 JobKeys.PROGRESS + job.id,
                 RecordCodec.encode(ProgressRecord.serializer(), job.progress()),
             )
         }
         forgotten.forEach {
-            records += StoredRecord(JobKeys.PROGRESS + it.id, null)
-            records += StoredRecord(JobKeys.SUBMISSION + it.id, null)
+            records += KeyedRecord(JobKeys.PROGRESS + it.id, null)
+            records += KeyedRecord(JobKeys.SUBMISSION + it.id, null)
         }
         upstreams.mapTo(records) { (id, record) ->
-            StoredRecord(
+            KeyedRecord(
                 JobKeys.UPSTREAM + id,
                 record?.let { RecordCodec.encode(UsedUpstreamRecord.serializer(), it) },
             )
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
@@ -133,11 +133,12 @@
     private fun placeTasks(demand: Demand) {
         var placed = 0
         val taken = HashMap<UpstreamId, Int>()
+        val preference = preference(demand)
         for (task in demand.tasks) {
             val room =
                 rooms
                     .filter { demand.allows(it) && hasRoom(demand, it, taken[it.id] ?: 0) }
-                    .minWithOrNull(preference(demand)) ?: break
+                    .minWithOrNull(preference) ?: break
             room.take(demand.size)
             taken.merge(room.id, 1, Int::plus)
             if (demand.ticketed) placements += Placement(demand, task, room.id)
@@ -157,12 +158,14 @@
             (limit == 0 || demand.runningOn(room.id) + taken < limit)
     }
 
-    private fun preference(demand: Demand): Comparator<Room> =
-        compareBy<Room>(
+    private fun preference(demand: Demand): Comparator<Room> {
+        val large = isLarge(demand.size)
+        return compareBy<Room>(
             { demand.avoids(it.id) },
             { demand.spec.dataRack != null && it.rack != demand.spec.dataRack },
-            { if (isLarge(demand.size)) 0 else it.demand },
+            { if (large) 0 else it.demand },
         ).thenBy { it.freeMillicores }
+    }
 
     private fun placeGang(demand: Demand) {
         val usable = rooms.filter { demand.allows(it) }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
@@ -79,7 +79,7 @@
                 run.mayStartLate = false
                 if (run.status == Run.Status.STARTING) run.status = Run.Status.STARTED
             }
-            StartResult.Displaced -> state.emit(CellEffect.Resign("upstream ${event.upstream} has a later token"))
+            StartResult.Displaced -> state.displacedAt(event.upstream)
             is StartResult.NotStarted -> notStarted(run, result.reason)
             is StartResult.Unanswered -> unanswered(run, result.detail)
         }
@@ -122,6 +122,13 @@
         sendStop(run)
     }
 
+    /** Orders all runs of [step] to stop. */
+    fun stopAll(step: StepRun) {
+        step.active.values
+            .toList()
+            .forEach(::stop)
+    }
+
     private fun sendStop(run: Run) {
         run.orderOpen = true
         state.emit(CellEffect.Stop(run.upstream.id, run.upstream.address, state.token, run.task, run.number))
@@ -137,7 +144,7 @@
                 // The end of a stopped run has to be listed before its room is free.
                 run.upstream.nextLookAt = state.now
             }
-            StopResult.DISPLACED -> state.emit(CellEffect.Resign("upstream ${event.upstream} has a later token"))
+            StopResult.DISPLACED -> state.displacedAt(event.upstream)
             StopResult.OTHER_UPSTREAM, StopResult.UNANSWERED -> run.nextOrderAt = state.now.plus(limits.orderRetry)
         }
     }
@@ -186,7 +193,6 @@
         run: Run,
         row: RunningTask,
     ) {
-        run.listed = true
         run.mayStartLate = false
         if (run.status == Run.Status.STARTING) {
             run.status = Run.Status.STARTED
@@ -212,7 +218,6 @@
                 answeredAt = state.now
                 startedAt = state.now
                 progressedAt = state.now
-                listed = true
             }
         upstream.add(run)
         state.decided("run-found", row.task, "run ${row.run} on $upstream, ${if (wanted) "adopted" else "stopped"}")
@@ -277,14 +282,8 @@
             .forEach { run ->
                 when {
                     run.orderOpen -> Unit
-                    run.status == Run.Status.STOPPING &&
-                        run.answeredAt == null &&
-                        !state.now.isBefore(
-                            run.nextOrderAt,
-                        ) ->
-                        sendStop(run)
-                    run.status == Run.Status.STARTING && !state.now.isBefore(run.nextOrderAt) ->
-                        run.step?.let { sendStart(run, it) }
+                    run.status == Run.Status.STOPPING && run.answeredAt == null && isOrderDue(run) -> sendStop(run)
+                    run.status == Run.Status.STARTING && isOrderDue(run) -> run.step?.let { sendStart(run, it) }
                     run.status == Run.Status.STARTED && isStuck(run) -> stuck(run)
                 }
             }
@@ -295,6 +294,8 @@
             .forEach(::checkGang)
     }
 
+    private fun isOrderDue(run: Run): Boolean = !state.now.isBefore(run.nextOrderAt)
+
     private fun isStuck(run: Run): Boolean {
         val step = run.step ?: return false
         return !step.spec.longRunning &&
@@ -313,18 +314,14 @@
     /** A gang of which a member is missing never works; the others are stopped before they wait in vain. */
     private fun checkGang(step: StepRun) {
         if (step.active.size + step.done.cardinality() < step.spec.tasks) {
-            step.active.values
-                .toList()
-                .forEach(::stop)
+            stopAll(step)
             return
         }
         val unconfirmed = step.active.values.filter { it.status == Run.Status.STARTING }
         val oldest = unconfirmed.minOfOrNull { it.startedAt } ?: return
         if (Duration.between(oldest, state.now) > limits.gangAssembly) {
             state.decided("gang-incomplete", step, "${unconfirmed.size} member(s) did not answer")
-            step.active.values
-                .toList()
-                .forEach(::stop)
+            stopAll(step)
         }
     }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -58,7 +58,7 @@
         upstream.lookOpen = false
         when (val result = event.result) {
             is Observation.Seen -> seen(upstream, event, result)
-            Observation.Displaced -> state.emit(CellEffect.Resign("upstream $upstream has a later token"))
+            Observation.Displaced -> state.displacedAt(upstream.id)
             Observation.OtherUpstream -> gone(upstream, "its address belongs to another upstream")
             is Observation.Failed -> failed(upstream, result.reason)
         }
@@ -69,11 +69,8 @@
         event: CellEvent.Observed,
         result: Observation.Seen,
     ) {
-        if (upstream.failedLooks >
-            0
-        ) {
-            state.decided("upstream-regained", upstream, "${upstream.failedLooks} look(s) failed")
-        }
+        val failed = upstream.failedLooks
+        if (failed > 0) state.decided("upstream-regained", upstream, "$failed look(s) failed")
         upstream.failedLooks = 0
         upstream.readClock(result.clockMillis, state.now)
         if (upstream.life != result.life) {
@@ -118,9 +115,7 @@
     /** No lease of this owner runs there any more, so nothing of the shard does. */
     private fun unreachable(upstream: Upstream) {
         if (!upstream.isListed) return gone(upstream, "it is not listed and its leases have lapsed")
-        upstream.runs.values
-            .toList()
-            .forEach { runs.lost(it, "the leases on $upstream have lapsed") }
+        loseRuns(upstream, "the leases on $upstream have lapsed")
         if (unseen.remove(upstream.id)) openBarrier()
         if (!upstream.lookOpen && !state.now.isBefore(upstream.nextLookAt)) look(upstream)
     }
@@ -130,15 +125,22 @@
         reason: String,
     ) {
         state.decided("upstream-gone", upstream, reason)
-        upstream.runs.values
-            .toList()
-            .forEach { runs.lost(it, "$upstream is gone") }
+        loseRuns(upstream, "$upstream is gone")
         state.upstreams -= upstream.id
         state.journal.upstream(upstream.id, null)
         if (unseen.remove(upstream.id)) openBarrier()
         state.dispatchNeeded = true
     }
 
+    private fun loseRuns(
+        upstream: Upstream,
+        reason: String,
+    ) {
+        upstream.runs.values
+            .toList()
+            .forEach { runs.lost(it, reason) }
+    }
+
     private fun openBarrier() {
         if (unseen.isNotEmpty()) return
         state.decided(
@@ -160,6 +162,7 @@
         upstream.lookOpen = true
         val renews =
             upstream.seenAt != null && upstream.failedLooks < limits.failuresBeforeNoRenewal && leases.mayRenew()
+        val atOnce = upstream.seenAt == null || upstream.failedLooks > 0 || unacknowledged
         state.emit(
             CellEffect.Observe(
                 upstream = upstream.id,
@@ -167,28 +170,11 @@
                 token = state.token,
                 acknowledgeUpTo = upstream.storedEnd,
                 leaseUntilMillis = if (renews) leases.grant(upstream) else null,
-                wait =
-                    if (upstream.seenAt == null ||
-                        upstream.failedLooks > 0 ||
-                        unacknowledged
-                    ) {
-                        Duration.ZERO
-                    } else {
-                        waitOf(upstream)
-                    },
+                wait = if (atOnce) Duration.ZERO else limits.observeWait,
             ),
         )
     }
 
-    /** Stops are seen as soon as they end; otherwise the upstream answers at the next end. */
-    private fun waitOf(upstream: Upstream): Duration =
-        if (upstream.runs.isEmpty()) limits.observeWait.multipliedBy(IDLE_FACTOR) else limits.observeWait
-
     private fun isRenewalDue(upstream: Upstream): Boolean =
         upstream.seenAt?.plus(limits.observeWait)?.isBefore(state.now) ?: true
-
-    private companion object {
-        /** An idle upstream has nothing to renew. */
-        const val IDLE_FACTOR = 1L
-    }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
@@ -158,13 +158,13 @@
         turn(now) {
             val sentAt = appendSentAt ?: return@turn
             appendSentAt = null
-            when (result) {
-                ClaimAppend.Appended -> appendTook(sentAt, now)
+            if (result == ClaimAppend.Appended) {
+                appendTook(sentAt, now)
+            } else {
                 // The answer of a read, and not of the append, shows who wrote.
-                ClaimAppend.Conflict, ClaimAppend.Unanswered -> nextAppendAt = now.plus(limits.retry)
-                ClaimAppend.Rejected -> nextAppendAt = now.plus(limits.retry)
+                nextAppendAt = now.plus(limits.retry)
+                mustRead = true
             }
-            if (result != ClaimAppend.Appended) mustRead = true
         }
 
     private fun appendTook(
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellParts.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellParts.kt
@@ -11,6 +11,7 @@
 import org.anvilbarrow.kernel.ownership.ClaimLimits
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.Ticket
+import java.time.Duration
 import java.time.InstantSource
 
 /** Makes a call for advice for [shard] and passes the answer on, which is null if the call failed. */
@@ -42,6 +43,9 @@
     val claimLimits: ClaimLimits,
     private val process: CellProcessView,
 ) {
+    /** Runs [task] on the control thread. */
+    fun post(task: () -> Unit): Unit = later.run(Duration.ZERO, task)
+
     fun config(): CellConfig? = process.config
 
     fun helpers(): List<String> = process.helpers
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
@@ -5,7 +5,6 @@
 import org.anvilbarrow.adapters.cell.CellMesh
 import org.anvilbarrow.adapters.cell.CellStore
 import org.anvilbarrow.adapters.cell.JobGateway
-import org.anvilbarrow.adapters.cell.KeyedRecord
 import org.anvilbarrow.adapters.cell.MeshLimits
 import org.anvilbarrow.adapters.cell.MeshListener
 import org.anvilbarrow.adapters.cell.PlatformCatalog
@@ -24,6 +23,7 @@
 import org.anvilbarrow.protocol.jobs.ClaimRecord
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobRequest
+import org.anvilbarrow.protocol.jobs.KeyedRecord
 import org.anvilbarrow.protocol.jobs.Ticket
 import org.http4k.core.HttpHandler
 import java.net.InetSocketAddress
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/JournalWriter.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/JournalWriter.kt
@@ -3,8 +3,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.anvilbarrow.adapters.cell.AppendCondition
 import org.anvilbarrow.adapters.cell.AppendOutcome
-import org.anvilbarrow.adapters.cell.KeyedRecord
-import org.anvilbarrow.kernel.jobs.StoredRecord
+import org.anvilbarrow.protocol.jobs.KeyedRecord
 import java.time.Duration
 
 private val log = KotlinLogging.logger("anvilbarrow.shard")
@@ -25,11 +24,11 @@
 
     /** Calls [done] with true once [records] are stored, or with false once a later owner has written. */
     fun write(
-        records: List<StoredRecord>,
+        records: List<KeyedRecord>,
         done: (Boolean) -> Unit,
     ) {
         lastSequence++
-        send(records.map { KeyedRecord(it.key, it.value) }, lastSequence, done)
+        send(records, lastSequence, done)
     }
 
     /** Sends nothing any more. */
@@ -45,7 +44,7 @@
         if (closed) return
         val condition = AppendCondition.Once(parts.address, token, sequence)
         parts.store.append(JOB_TOPIC, shard, records, condition).thenAccept { outcome ->
-            parts.later.run(Duration.ZERO) {
+            parts.post {
                 when (outcome) {
                     is AppendOutcome.Appended -> stored(done)
                     AppendOutcome.Fenced -> done(false)
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardLoader.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardLoader.kt
@@ -4,12 +4,12 @@
 import kotlinx.collections.immutable.toPersistentList
 import org.anvilbarrow.adapters.cell.AppendCondition
 import org.anvilbarrow.adapters.cell.AppendOutcome
-import org.anvilbarrow.adapters.cell.KeyedRecord
 import org.anvilbarrow.adapters.cell.NewestOutcome
 import org.anvilbarrow.kernel.jobs.JobKeys
 import org.anvilbarrow.kernel.jobs.LoadedJob
 import org.anvilbarrow.kernel.jobs.LoadedShard
 import org.anvilbarrow.protocol.jobs.JobId
+import org.anvilbarrow.protocol.jobs.KeyedRecord
 import org.anvilbarrow.protocol.jobs.ProgressRecord
 import org.anvilbarrow.protocol.jobs.RecordCodec
 import org.anvilbarrow.protocol.jobs.SubmissionRecord
@@ -34,7 +34,7 @@
         if (!isWanted()) return
         val condition = AppendCondition.Once(parts.address, token, 0)
         parts.store.append(JOB_TOPIC, shard, emptyList(), condition).thenAccept { outcome ->
-            later {
+            parts.post {
                 when (outcome) {
                     // An announcement whose answer was lost has set the epoch; a later epoch would be told as fenced.
                     is AppendOutcome.Appended, is AppendOutcome.OutOfSequence -> read(done)
@@ -47,7 +47,7 @@
 
     private fun read(done: (LoadedShard, JournalWriter) -> Unit) {
         parts.store.newest(JOB_TOPIC, shard).thenAccept { outcome ->
-            later {
+            parts.post {
                 when (outcome) {
                     is NewestOutcome.Failed -> retry("the jobs cannot be read: ${outcome.detail}", done)
                     is NewestOutcome.Complete ->
@@ -86,8 +86,6 @@
         )
     }
 
-    private fun later(task: () -> Unit): Unit = parts.later.run(Duration.ZERO, task)
-
     private companion object {
         val RETRY: Duration = Duration.ofMillis(200)
     }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
@@ -4,7 +4,6 @@
 import kotlinx.collections.immutable.toPersistentList
 import org.anvilbarrow.adapters.cell.AppendCondition
 import org.anvilbarrow.adapters.cell.AppendOutcome
-import org.anvilbarrow.adapters.cell.KeyedRecord
 import org.anvilbarrow.adapters.cell.NewestOutcome
 import org.anvilbarrow.adapters.cell.ReadOutcome
 import org.anvilbarrow.adapters.cell.TopicFollower
@@ -18,6 +17,7 @@
 import org.anvilbarrow.kernel.ownership.ShardClaim
 import org.anvilbarrow.protocol.jobs.ClaimRecord
 import org.anvilbarrow.protocol.jobs.JobAnswer
+import org.anvilbarrow.protocol.jobs.KeyedRecord
 import org.anvilbarrow.protocol.jobs.RecordCodec
 import java.time.Duration
 import java.time.Instant
@@ -118,10 +118,10 @@
     private fun perform(effect: ClaimEffect) {
         when (effect) {
             ClaimEffect.ReadNewest ->
-                parts.store.newest(CLAIM_TOPIC, shard).thenAccept { later { perform(newestClaim(it)) } }
+                parts.store.newest(CLAIM_TOPIC, shard).thenAccept { parts.post { perform(newestClaim(it)) } }
             is ClaimEffect.Read ->
                 parts.store.read(CLAIM_TOPIC, shard, effect.from, effect.wait).thenAccept {
-                    later { perform(readClaims(it)) }
+                    parts.post { perform(readClaims(it)) }
                 }
             is ClaimEffect.Append -> append(effect)
             is ClaimEffect.Acquired -> acquired(effect.token, effect.earlierOwnersEnded)
@@ -146,7 +146,7 @@
                     is AppendOutcome.Rejected -> ClaimAppend.Rejected
                     else -> ClaimAppend.Conflict
                 }
-            later { perform(claim.appended(result, now())) }
+            parts.post { perform(claim.appended(result, now())) }
         }
     }
 
@@ -253,9 +253,7 @@
     private fun back(
         owner: Cell,
         event: () -> CellEvent,
-    ): Unit = later { if (owner === cell) events += event() }
-
-    private fun later(task: () -> Unit): Unit = parts.later.run(Duration.ZERO, task)
+    ): Unit = parts.post { if (owner === cell) events += event() }
 
     private fun now(): Instant = parts.clock.instant()
 
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/ServeCommand.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/ServeCommand.kt
@@ -2,7 +2,6 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
-import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.long
@@ -57,11 +56,7 @@
     private fun read(): CellSettings =
         when (val result = CellSettingsReader(file.toString(), readText(file)).read()) {
             is CellSettingsResult.Valid -> result.settings
-            is CellSettingsResult.Invalid -> {
-                result.faults.forEach { echo(it, err = true) }
-                echo("$file: ${result.faults.size} fault(s)", err = true)
-                throw ProgramResult(BAD_SETTINGS_STATUS)
-            }
+            is CellSettingsResult.Invalid -> rejectSettings(file, result.faults)
         }
 
     private fun ports(settings: CellSettings): PlatformPorts {
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/SettingsFile.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/SettingsFile.kt
@@ -3,6 +3,7 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.ProgramResult
 import org.anvilbarrow.adapters.settings.SchedulerSettings
+import org.anvilbarrow.adapters.settings.SettingFault
 import org.anvilbarrow.adapters.settings.SettingsReader
 import org.anvilbarrow.adapters.settings.SettingsResult
 import java.io.IOException
@@ -16,11 +17,7 @@
 internal fun CliktCommand.readSettings(file: Path): SchedulerSettings {
     when (val result = SettingsReader(file.toString(), readText(file)).read()) {
         is SettingsResult.Valid -> return result.settings
-        is SettingsResult.Invalid -> {
-            result.faults.forEach { echo(it, err = true) }
-            echo("$file: ${result.faults.size} fault(s)", err = true)
-            throw ProgramResult(BAD_SETTINGS_STATUS)
-        }
+        is SettingsResult.Invalid -> rejectSettings(file, result.faults)
     }
 }
 
@@ -32,3 +29,13 @@
         echo("$file cannot be read as UTF-8 text: ${e.message}", err = true)
         throw ProgramResult(BAD_SETTINGS_STATUS)
     }
+
+/** Prints [faults] of [file] and ends the program. */
+internal fun CliktCommand.rejectSettings(
+    file: Path,
+    faults: List<SettingFault>,
+): Nothing {
+    faults.forEach { echo(it, err = true) }
+    echo("$file: ${faults.size} fault(s)", err = true)
+    throw ProgramResult(BAD_SETTINGS_STATUS)
+}
