Let all owners of a shard append as one producer

Cause: each owner appended to the shard's jobs under its own address as producer, and the store keeps epochs for each producer. An owner that lost the store and got it back after a takeover could store one more batch and acknowledge its ends, which its successor had not read: the tasks were started again. JournalFencingTest fails with a producer for each owner.

--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/CellStore.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/CellStore.kt
@@ -11,7 +11,7 @@
         val offset: Long,
     ) : AppendCondition
 
-    /** Once for each [sequence] of [producer], and only if no higher [epoch] has written. */
+    /** Once for each [sequence] of [producer], and only if [producer] has not written with a higher [epoch]. */
     public data class Once(
         val producer: String,
         val epoch: Long,
@@ -31,7 +31,7 @@
         val endOffset: Long,
     ) : AppendOutcome
 
-    /** A higher epoch has written; nothing was appended. */
+    /** The producer has written with a higher epoch; nothing was appended. */
     public data object Fenced : AppendOutcome
 
     /** The sequence number does not follow the last one; nothing was appended. */
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/JournalWriter.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/JournalWriter.kt
@@ -42,7 +42,7 @@
         done: (Boolean) -> Unit,
     ) {
         if (closed) return
-        val condition = AppendCondition.Once(parts.address, token, sequence)
+        val condition = AppendCondition.Once(JOB_PRODUCER, token, sequence)
         parts.store.append(JOB_TOPIC, shard, records, condition).thenAccept { outcome ->
             parts.post {
                 when (outcome) {
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardLoader.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardLoader.kt
@@ -21,6 +21,13 @@
 /** Topic with the jobs; the partition is the shard. */
 internal const val JOB_TOPIC = "keyed.jobs"
 
+/**
+ * Producer that every owner of a shard appends as.
+ *
+ * The store keeps epochs for each producer, so owners shut each other out only if they share one.
+ */
+internal const val JOB_PRODUCER = "owner"
+
 /** Shuts out the earlier owner of a shard and reads what it stored; tries again while [isWanted]. */
 internal class ShardLoader(
     private val shard: Int,
@@ -32,7 +39,7 @@
 ) {
     fun load(done: (LoadedShard, JournalWriter) -> Unit) {
         if (!isWanted()) return
-        val condition = AppendCondition.Once(parts.address, token, 0)
+        val condition = AppendCondition.Once(JOB_PRODUCER, token, 0)
         parts.store.append(JOB_TOPIC, shard, emptyList(), condition).thenAccept { outcome ->
             parts.post {
                 when (outcome) {
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/JournalFencingTest.kt
@@ -0,0 +1,151 @@
+package org.anvilbarrow.scheduler.cell
+
+import org.anvilbarrow.adapters.cell.AppendCondition
+import org.anvilbarrow.adapters.cell.AppendOutcome
+import org.anvilbarrow.adapters.cell.CellStore
+import org.anvilbarrow.adapters.cell.NewestOutcome
+import org.anvilbarrow.adapters.cell.PlatformCatalog
+import org.anvilbarrow.adapters.cell.ReadOutcome
+import org.anvilbarrow.adapters.cell.UpstreamCalls
+import org.anvilbarrow.kernel.jobs.CallKey
+import org.anvilbarrow.kernel.jobs.CellConfig
+import org.anvilbarrow.kernel.jobs.CellEffect
+import org.anvilbarrow.kernel.jobs.CellLimits
+import org.anvilbarrow.kernel.jobs.UpstreamEntry
+import org.anvilbarrow.kernel.ownership.ClaimLimits
+import org.anvilbarrow.protocol.jobs.JobAnswer
+import org.anvilbarrow.protocol.jobs.KeyedRecord
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import java.time.Duration
+import java.time.InstantSource
+import java.util.concurrent.CompletableFuture
+
+internal class JournalFencingTest {
+    /** Keeps epochs and sequence numbers for each producer, as the platform's store does. */
+    private class EpochStore : CellStore {
+        private class Producer(
+            var epoch: Long = -1,
+            var lastSequence: Long? = null,
+        )
+
+        private val producers = HashMap<String, Producer>()
+        val records = ArrayList<KeyedRecord>()
+
+        override fun append(
+            topic: String,
+            partition: Int,
+            records: List<KeyedRecord>,
+            condition: AppendCondition,
+        ): CompletableFuture<AppendOutcome> = CompletableFuture.completedFuture(append(records, condition))
+
+        private fun append(
+            records: List<KeyedRecord>,
+            condition: AppendCondition,
+        ): AppendOutcome {
+            check(condition is AppendCondition.Once)
+            val producer = producers.getOrPut(condition.producer, ::Producer)
+            if (condition.epoch < producer.epoch) return AppendOutcome.Fenced
+            if (condition.epoch > producer.epoch) producer.lastSequence = null
+            producer.epoch = condition.epoch
+            if (records.isNotEmpty()) {
+                val expected = producer.lastSequence?.plus(1) ?: condition.sequence
+                if (condition.sequence != expected) return AppendOutcome.OutOfSequence(expected)
+                producer.lastSequence = condition.sequence
+            }
+            this.records += records
+            return AppendOutcome.Appended(this.records.size.toLong())
+        }
+
+        override fun read(
+            topic: String,
+            partition: Int,
+            from: Long,
+            wait: Duration,
+        ): CompletableFuture<ReadOutcome> = error("not read")
+
+        override fun newest(
+            topic: String,
+            partition: Int,
+        ): CompletableFuture<NewestOutcome> =
+            CompletableFuture.completedFuture(NewestOutcome.Complete(records.toList(), records.size.toLong()))
+    }
+
+    private object NoUpstreams : UpstreamCalls {
+        override fun observe(order: CellEffect.Observe) = error("no orders")
+
+        override fun start(order: CellEffect.Start) = error("no orders")
+
+        override fun stop(order: CellEffect.Stop) = error("no orders")
+    }
+
+    private object NoCatalog : PlatformCatalog {
+        override val operatorTopic = "operators"
+        override val upstreamTopic = "upstreams"
+
+        override fun config(record: KeyedRecord): CellConfig? = null
+
+        override fun upstream(record: KeyedRecord): UpstreamEntry? = null
+    }
+
+    private object NoView : CellProcessView {
+        override val config: CellConfig? = null
+        override val helpers: List<String> = emptyList()
+
+        override fun answer(
+            call: CallKey,
+            answer: JobAnswer,
+        ) = Unit
+    }
+
+    private val clock = InstantSource.system()
+    private val store = EpochStore()
+
+    private fun partsOf(address: String) =
+        CellParts(
+            address,
+            1,
+            1,
+            clock,
+            { _, task -> task() },
+            store,
+            NoUpstreams,
+            NoCatalog,
+            { _, _, _ -> },
+            DecisionLog(1),
+            CellLimits(),
+            ClaimLimits(),
+            NoView,
+        )
+
+    /** Takes the shard over at [address] and returns what the owner writes with. */
+    private fun takeOver(
+        address: String,
+        token: Long,
+    ): JournalWriter {
+        var writer: JournalWriter? = null
+        ShardLoader(0, token, partsOf(address), { true }, { }).load { _, loaded -> writer = loaded }
+        return checkNotNull(writer) { "the owner with token $token was not loaded" }
+    }
+
+    private fun JournalWriter.stores(key: String): Boolean? {
+        var stored: Boolean? = null
+        write(listOf(KeyedRecord(key, byteArrayOf(1)))) { stored = it }
+        return stored
+    }
+
+    /**
+     * Guards against an earlier owner whose batch is stored after its successor has read the jobs: it acknowledges ends
+     * that the successor does not know, and the successor starts the same tasks again.
+     */
+    @Test
+    fun `nothing of an earlier owner is stored once its successor has read the jobs`() {
+        val earlier = takeOver("10.0.0.1:7000", token = 4)
+        expectThat(earlier.stores("a")).isEqualTo(true)
+        val later = takeOver("10.0.0.2:7000", token = 9)
+        expectThat(earlier.stores("b")).isEqualTo(false)
+        expectThat(later.stores("c")).isEqualTo(true)
+        expectThat(store.records.map { it.key }).isEqualTo(listOf("a", "c"))
+    }
+}
