Use an older connection to a peer when the newest one ends

Cause: the mesh kept the newest connection of an address only, so its end made the peer unreachable while an older connection lived. A receive that a timeout cancelled could also lose the message that it had taken. Change: all open connections are kept, the newest is used; the writer waits with a select, which loses nothing. CellMeshTest fails before. Suspected by reading, not seen in a play.

--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/CellMesh.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/CellMesh.kt
@@ -5,8 +5,11 @@
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -18,6 +21,8 @@
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.anvilbarrow.adapters.peer.FrameChannel
 import org.anvilbarrow.adapters.peer.PeerFault
@@ -81,7 +86,9 @@
     private val dispatcher = threads.asCoroutineDispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val selector = SelectorManager(dispatcher)
-    private val links = ConcurrentHashMap<String, Link>()
+
+    /** Open connections by address, the newest last; both sides may have opened one. */
+    private val links = ConcurrentHashMap<String, PersistentList<Link>>()
     private val dialers = HashMap<String, Job>()
 
     /** Listens on the own address. */
@@ -106,7 +113,12 @@
     public fun send(
         to: String,
         message: CellMessage,
-    ): Boolean = links[to]?.queue?.trySend(message)?.isSuccess ?: false
+    ): Boolean =
+        links[to]
+            ?.last()
+            ?.queue
+            ?.trySend(message)
+            ?.isSuccess ?: false
 
     override fun close() {
         scope.cancel()
@@ -160,8 +172,7 @@
     ): Unit =
         coroutineScope {
             val link = Link(Channel(limits.queuedMessages))
-            links[address] = link
-            listener.linkChanged(address, up = true)
+            opened(address, link)
             try {
                 val writer = launch { write(link, frames) }
                 while (true) {
@@ -170,16 +181,39 @@
                     if (writer.isCompleted) throw PeerSilence("the connection cannot be written")
                 }
             } finally {
-                if (links.remove(address, link)) listener.linkChanged(address, up = false)
+                ended(address, link)
             }
         }
 
+    private fun opened(
+        address: String,
+        link: Link,
+    ) {
+        links.merge(address, persistentListOf(link)) { open, new -> open.addAll(new) }
+        listener.linkChanged(address, up = true)
+    }
+
+    /** An older connection to [address] may still be open, and then it is used again. */
+    private fun ended(
+        address: String,
+        link: Link,
+    ) {
+        val left = links.computeIfPresent(address) { _, open -> open.remove(link).takeIf { it.isNotEmpty() } }
+        if (left == null) listener.linkChanged(address, up = false)
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class) // onTimeout; the alternative is a timer for each connection.
     private suspend fun write(
         link: Link,
         frames: FrameChannel,
     ) {
         while (true) {
-            val message = withTimeoutOrNull(limits.keepAlive.toMillis()) { link.queue.receive() }
+            // A receive that a timeout cancels may lose the message that it has taken.
+            val message =
+                select<CellMessage?> {
+                    link.queue.onReceive { it }
+                    onTimeout(limits.keepAlive.toMillis()) { null }
+                }
             if (message == null) frames.acknowledge() else frames.write(encode(message))
         }
     }
