End the process when a thread fails with an error

Cause: an Error ended the control thread only; the rest of the process went on and held requests to their end.

--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/ServeCommand.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/ServeCommand.kt
@@ -39,6 +39,7 @@
 
     override fun run() {
         val settings = read()
+        Thread.setDefaultUncaughtExceptionHandler(ThreadFailure())
         val process = CellProcess(settings, ports(settings), MonotonicClock())
         // The default action of SIGHUP would end the process.
         Signal.handle(Signal("HUP")) { process.reload() }
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cli/ThreadFailureTest.kt
@@ -0,0 +1,28 @@
+package org.anvilbarrow.scheduler.cli
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+internal class ThreadFailureTest {
+    /** Guards against a process whose control thread is gone and whose other threads hold requests to their end. */
+    @TestFactory
+    fun `an error ends the process, an exception ends its thread`() =
+        listOf(
+            Triple("no memory", OutOfMemoryError(), listOf(70)),
+            Triple("no stack", StackOverflowError(), listOf(70)),
+            Triple("missing class", NoClassDefFoundError(), listOf(70)),
+            Triple("exception", IllegalStateException(), emptyList()),
+        ).map { (name, cause, expected) ->
+            DynamicTest.dynamicTest(name) {
+                val halted = ArrayList<Int>()
+                Thread({ throw cause }, "failing").run {
+                    uncaughtExceptionHandler = ThreadFailure(halted::add)
+                    start()
+                    join()
+                }
+                expectThat(halted).isEqualTo(ArrayList(expected))
+            }
+        }
+}
