Tell all processes of a new owner whenever the token changed

Cause: a process took a claim as that of the owner it knew if the incarnations were equal. All VMs start within 0.3 s of each other, so two processes share a start time in milliseconds now and then; after a takeover between those two nobody was told of the new owner, and requests were sent to the earlier one and held to their end until the next restart. ShardClaimTest has the case and fails before.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
@@ -286,7 +286,7 @@
         val before = newest
         if (before != null && record.token < before.token) return
         newest = record
-        linkLost = linkLost && before?.incarnation == record.incarnation
+        linkLost = linkLost && before?.token == record.token
         val mine = record.address == address && record.incarnation == incarnation
         when {
             mine && !record.released && token != record.token -> {
@@ -297,7 +297,8 @@
             mine && record.released -> lose("released")
             !mine && token != null -> lose("${record.address} claimed the shard with token ${record.token}")
         }
-        val changed = before?.incarnation != record.incarnation || before.released != record.released
+        // Processes that start together may have one incarnation; a token belongs to one claim.
+        val changed = before?.token != record.token || before.released != record.released
         if (changed) effects += ClaimEffect.OwnerChanged(owner)
     }
 
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/ownership/ShardClaimTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/ownership/ShardClaimTest.kt
@@ -41,6 +41,9 @@
             var losesAppendAnswers = false
             val acquired = ArrayList<ClaimEffect.Acquired>()
 
+            /** Address of the owner as the process was told last. */
+            var toldOwner: String? = null
+
             fun perform(effects: List<ClaimEffect>) {
                 effects.forEach { perform(it) }
             }
@@ -59,6 +62,7 @@
                         ) { read(effect, now.plus(effect.wait)) }
                     is ClaimEffect.Append -> call({ claim.appended(ClaimAppend.Unanswered, now) }) { append(effect) }
                     is ClaimEffect.Acquired -> acquired += effect
+                    is ClaimEffect.OwnerChanged -> toldOwner = effect.owner?.address
                     else -> Unit
                 }
             }
@@ -159,6 +163,20 @@
         expectThat(world.owners()).single().get { claim.token!! }.isGreaterThan(token!!)
     }
 
+    /** Guards against processes that started in the same millisecond and are taken for one: nobody heard of the owner. */
+    @Test
+    fun `all processes are told of a new owner that started when the earlier one did`() {
+        val world = ClaimWorld()
+        listOf("a", "b", "c").forEach { world.add(it, incarnation = 7) }
+        world.run(second.multipliedBy(3))
+        val first = world.owners().single()
+        first.alive = false
+        world.run(second.multipliedBy(3))
+        val owner = world.owners().single()
+        val told = (world.members.values - first).map { it.toldOwner }.distinct()
+        expectThat(told).containsExactly(owner.name)
+    }
+
     @Test
     fun `an owner that comes back after a restart claims the shard at once`() {
         val world = ClaimWorld()
