--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/JettyTransport.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/platform/JettyTransport.kt
@@ -7,6 +7,7 @@
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
 import org.eclipse.jetty.http.HttpCookieStore
 import org.eclipse.jetty.io.ClientConnector
+import org.eclipse.jetty.util.ssl.SslContextFactory
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import org.http4k.client.JettyClient
 import org.http4k.core.BodyMode
@@ -75,6 +76,16 @@
         client.stop()
     }
 
+    /** Calls are plain HTTP; the default factory reads the trust store, a fifth of the time to start a process. */
+    private class PlainConnector : ClientConnector() {
+        override fun newSslContextFactory(): SslContextFactory.Client =
+            object : SslContextFactory.Client() {
+                override fun doStart(): Unit = Unit
+
+                override fun doStop(): Unit = Unit
+            }
+    }
+
     private companion object {
         /** Longest head of an answer, in bytes. */
         const val MAX_HEADER_BYTES = 16 * 1024
@@ -86,7 +97,7 @@
         fun connector(
             name: String,
             limits: PlatformClientLimits,
-        ) = ClientConnector().apply {
+        ) = PlainConnector().apply {
             selectors = SELECTORS
             executor =
                 QueuedThreadPool(MAX_THREADS, MIN_THREADS).also {
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/Main.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/Main.kt
@@ -1,7 +1,8 @@
 package org.anvilbarrow.scheduler
 
 import com.github.ajalt.clikt.core.CliktCommand
-import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.parse
 import com.github.ajalt.clikt.core.subcommands
 import org.anvilbarrow.scheduler.cli.CheckCommand
 import org.anvilbarrow.scheduler.cli.QuickstartCommand
@@ -12,6 +13,8 @@
 import org.anvilbarrow.scheduler.cli.StandInLogCommand
 import org.anvilbarrow.scheduler.cli.StandInUpstreamCommand
 import org.anvilbarrow.scheduler.cli.StandInVmListCommand
+import org.anvilbarrow.scheduler.logging.LogConfiguration
+import kotlin.system.exitProcess
 
 private class Anvilbarrow : CliktCommand(name = "anvilbarrow") {
     override fun run(): Unit = Unit
@@ -21,7 +24,17 @@
 public fun main(args: Array<String>) {
     val standIns =
         StandInCommand().subcommands(StandInUpstreamCommand(), StandInLogCommand(), StandInVmListCommand())
-    Anvilbarrow()
-        .subcommands(RunCommand(), ServeCommand(), CheckCommand(), SettingsCommand(), standIns, QuickstartCommand())
-        .main(args)
+    val command =
+        Anvilbarrow()
+            .subcommands(RunCommand(), ServeCommand(), CheckCommand(), SettingsCommand(), standIns, QuickstartCommand())
+    val status =
+        try {
+            command.parse(args)
+            0
+        } catch (e: CliktError) {
+            command.echoFormattedHelp(e)
+            e.statusCode
+        }
+    LogConfiguration.flush()
+    if (status != 0) exitProcess(status)
 }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardLoader.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardLoader.kt
@@ -1,19 +1,12 @@
 package org.anvilbarrow.scheduler.cell
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.collections.immutable.toPersistentList
 import org.anvilbarrow.adapters.cell.AppendCondition
 import org.anvilbarrow.adapters.cell.AppendOutcome
 import org.anvilbarrow.adapters.cell.NewestOutcome
-import org.anvilbarrow.kernel.jobs.JobKeys
-import org.anvilbarrow.kernel.jobs.LoadedJob
 import org.anvilbarrow.kernel.jobs.LoadedShard
-import org.anvilbarrow.protocol.jobs.JobId
+import org.anvilbarrow.kernel.jobs.StoredShard
 import org.anvilbarrow.protocol.jobs.KeyedRecord
-import org.anvilbarrow.protocol.jobs.ProgressRecord
-import org.anvilbarrow.protocol.jobs.RecordCodec
-import org.anvilbarrow.protocol.jobs.SubmissionRecord
-import org.anvilbarrow.protocol.jobs.UsedUpstreamRecord
 import java.time.Duration
 
 private val log = KotlinLogging.logger("anvilbarrow.shard")
@@ -74,23 +67,7 @@
 
     private fun decode(records: List<KeyedRecord>): LoadedShard {
         val values = records.mapNotNull { record -> record.value?.let { record.key to it } }.toMap()
-        val jobs =
-            values.filterKeys { it.startsWith(JobKeys.SUBMISSION) }.mapNotNull { (key, value) ->
-                val id = key.removePrefix(JobKeys.SUBMISSION)
-                val submission = RecordCodec.decode(SubmissionRecord.serializer(), value)
-                if (submission == null) log.error { "event=record-unreadable shard=$shard key=$key" }
-                val progress =
-                    values[JobKeys.PROGRESS + id]?.let { RecordCodec.decode(ProgressRecord.serializer(), it) }
-                submission?.let { LoadedJob(JobId(id), it, progress) }
-            }
-        val used =
-            values
-                .filterKeys { it.startsWith(JobKeys.UPSTREAM) }
-                .mapNotNull { RecordCodec.decode(UsedUpstreamRecord.serializer(), it.value) }
-        return LoadedShard(
-            jobs.sortedBy { it.submission.acceptedAtEpochMillis }.toPersistentList(),
-            used.toPersistentList(),
-        )
+        return StoredShard(values) { log.error { "event=record-unreadable shard=$shard key=$it" } }.decode()
     }
 
     private companion object {
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/Termination.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/Termination.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.scheduler.cli
 
+import org.anvilbarrow.scheduler.logging.LogConfiguration
 import java.util.concurrent.CountDownLatch
 
 /**
@@ -15,6 +16,7 @@
     val hook =
         Thread({
             val status = if (stop()) 0 else 1
+            LogConfiguration.flush()
             Runtime.getRuntime().halt(status)
         }, "stop")
     Runtime.getRuntime().addShutdownHook(hook)
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/ThreadFailure.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/ThreadFailure.kt
@@ -1,6 +1,7 @@
 package org.anvilbarrow.scheduler.cli
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.anvilbarrow.scheduler.logging.LogConfiguration
 
 private val log = KotlinLogging.logger("anvilbarrow.process")
 
@@ -20,6 +21,8 @@
         cause: Throwable,
     ) {
         log.error(cause) { "event=thread-failed thread=${thread.name}" }
-        if (cause is Error) halt(EX_SOFTWARE)
+        if (cause !is Error) return
+        LogConfiguration.flush()
+        halt(EX_SOFTWARE)
     }
 }
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/logging/LogConfigurationTest.kt
@@ -0,0 +1,91 @@
+package org.anvilbarrow.scheduler.logging
+
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.util.LogbackMDCAdapter
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.single
+import java.io.ByteArrayOutputStream
+import java.io.OutputStream
+import java.io.PrintStream
+import java.util.concurrent.CountDownLatch
+
+@Timeout(20)
+internal class LogConfigurationTest {
+    /** A reader that takes nothing until [opened]. */
+    private class StalledOutput : OutputStream() {
+        val opened = CountDownLatch(1)
+        val written = ByteArrayOutputStream()
+
+        /** The thread that writes is interrupted when the context stops, which must not end a write. */
+        private fun waitUntilOpened() {
+            if (opened.count > 0) opened.await()
+        }
+
+        override fun write(byte: Int) {
+            waitUntilOpened()
+            written.write(byte)
+        }
+
+        override fun write(
+            bytes: ByteArray,
+            offset: Int,
+            length: Int,
+        ) {
+            waitUntilOpened()
+            written.write(bytes, offset, length)
+        }
+    }
+
+    private val original = System.out
+    private val output = StalledOutput()
+    private val context =
+        LoggerContext().apply {
+            mdcAdapter = LogbackMDCAdapter()
+            start()
+        }
+
+    init {
+        System.setOut(PrintStream(output, true))
+        LogConfiguration().configure(context)
+    }
+
+    @AfterEach
+    fun restore() {
+        output.opened.countDown()
+        context.stop()
+        System.setOut(original)
+    }
+
+    /** Guards against a control thread that waits for whoever reads the log. */
+    @Test
+    fun `a reader that takes nothing stops no thread that logs`() {
+        repeat(LINES) { context.getLogger("anvilbarrow.cell").info("line {}", it) }
+        output.opened.countDown()
+        context.stop()
+        expectThat(output.written.toString()).contains("INFO  anvilbarrow.cell: line 0\n")
+    }
+
+    /** Guards against the thousands of lines that libraries write at their lower levels. */
+    @Test
+    fun `libraries log warnings only`() {
+        output.opened.countDown()
+        context.getLogger("org.eclipse.jetty").info("an info line of a library")
+        context.getLogger("org.eclipse.jetty").warn("a warning of a library")
+        context.stop()
+        expectThat(
+            output.written
+                .toString()
+                .lines()
+                .filter { it.isNotEmpty() },
+        ).single().contains("a warning")
+    }
+
+    private companion object {
+        /** More than the queue holds. */
+        const val LINES = 20_000
+    }
+}
