Store finished jobs in groups

Decoding the stored shard is one class, used by the tests too; a progress record that cannot be read is logged. The test world now checks that the stored progress holds the end that is acknowledged.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -27,6 +27,7 @@
 
     init {
         watch.load(loaded)
+        state.finished.load(loaded.finished)
         loaded.jobs.forEach(::load)
     }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellConfig.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellConfig.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
+import org.anvilbarrow.protocol.jobs.FinishedJobsRecord
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.ProgressRecord
 import org.anvilbarrow.protocol.jobs.SubmissionRecord
@@ -71,6 +72,8 @@
 public data class LoadedShard(
     val jobs: ImmutableList<LoadedJob> = persistentListOf(),
     val usedUpstreams: ImmutableList<UsedUpstreamRecord> = persistentListOf(),
+    /** Groups of finished jobs by number. */
+    val finished: ImmutableMap<Long, FinishedJobsRecord> = persistentMapOf(),
     /** True if no earlier owner can give or renew leases any more. */
     val earlierOwnersEnded: Boolean = false,
 )
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
@@ -15,7 +15,8 @@
     var config: CellConfig? = null
     val jobs = LinkedHashMap<JobId, JobRun>()
     val upstreams = LinkedHashMap<UpstreamId, Upstream>()
-    val journal = Journal()
+    val finished = FinishedJobs()
+    val journal = Journal(finished) { jobs -= it.id }
 
     /** Steps that are open and have waiting tasks. */
     val ready = LinkedHashSet<StepRun>()
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobDesk.kt
@@ -38,10 +38,12 @@
         request: JobRequest.Submit,
     ) {
         val known = state.jobs[request.job]
+        val finished = state.finished[request.job]
+        val queue = known?.queue ?: finished?.queue ?: request.queue
         when {
-            known != null && known.queue != request.queue ->
+            queue != request.queue ->
                 state.answer(call, JobAnswer.Invalid("job ${request.job} was handed in on another queue"))
-            known != null && known.stored -> state.answer(call, JobAnswer.Accepted)
+            known?.stored == true || (known == null && finished != null) -> state.answer(call, JobAnswer.Accepted)
             known != null -> awaitStored(call, known)
             else -> accept(call, request)
         }
@@ -97,14 +99,14 @@
         id: JobId,
         queue: String,
     ): JobAnswer {
-        val job = state.jobs[id]?.takeIf { it.stored && it.queue == queue } ?: return JobAnswer.NotFound
-        val shown =
-            when {
-                job.storedPhase.isFinal -> job.storedPhase
-                job.begun -> JobPhase.RUNNING
-                else -> JobPhase.QUEUED
-            }
-        return JobAnswer.State(shown, job.reason.takeIf { job.storedPhase.isFinal })
+        val job = state.jobs[id]?.takeIf { it.queue == queue }
+        val finished = state.finished[id]?.takeIf { it.queue == queue }
+        return when {
+            // An end that is not stored yet is not shown, as a successor would not know it.
+            job != null && job.stored -> JobAnswer.State(if (job.begun) JobPhase.RUNNING else JobPhase.QUEUED)
+            job == null && finished != null -> JobAnswer.State(finished.phase, finished.reason)
+            else -> JobAnswer.NotFound
+        }
     }
 
     private fun pending(queue: String): JobAnswer =
@@ -115,7 +117,10 @@
         request: JobRequest.Cancel,
     ) {
         val job = state.jobs[request.job]?.takeIf { it.queue == request.queue }
-        if (job == null) return state.answer(call, JobAnswer.NotFound)
+        if (job == null) {
+            val ended = state.finished[request.job]?.queue == request.queue
+            return state.answer(call, if (ended) JobAnswer.Cancelled else JobAnswer.NotFound)
+        }
         if (!job.phase.isFinal) {
             state.decided("job-cancelled", job.id, "asked for by ${call.origin}")
             end(job, JobPhase.CANCELLED, "cancelled by its owner")
@@ -178,13 +183,7 @@
     /** Opens due occurrences, answers callers that waited too long, and forgets old jobs. */
     fun tick() {
         answerOverdue()
-        val forgetBefore = state.now.minus(state.limits.retention)
-        state.jobs.values
-            .filter { it.storedPhase.isFinal && it.endedAt?.isBefore(forgetBefore) == true }
-            .forEach { job ->
-                state.jobs -= job.id
-                state.journal.forgotten(job)
-            }
+        state.journal.forgotten(state.finished.forgetBefore(state.now.minus(state.limits.retention)))
         state.jobs.values.forEach(::openDue)
     }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.protocol.jobs.FinishedJob
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.JobPhase
 import org.anvilbarrow.protocol.jobs.JobSpec
@@ -23,13 +24,13 @@
     val queue: String get() = submission.queue
     val acceptedAt: Instant = Instant.ofEpochMilli(submission.acceptedAtEpochMillis)
 
-    /** Phase as decided; callers see [storedPhase]. */
+    /** Phase as decided; callers see an end once it is stored. */
     var phase: JobPhase = JobPhase.QUEUED
     var reason: String? = null
     var endedAt: Instant? = null
 
-    /** Phase that is on the store. */
-    var storedPhase: JobPhase = JobPhase.QUEUED
+    /** True once a batch with the end of the job was handed to the store. */
+    var endHandedToStore = false
 
     /** True once the submission is on the store. */
     var stored = false
@@ -59,14 +60,13 @@
             .onEach { steps[it.ref] = it }
             .also { opened = maxOf(opened, occurrence + 1) }
 
-    fun progress(): ProgressRecord =
-        ProgressRecord(phase, steps.values.map { it.progress() }, reason, endedAt?.toEpochMilli())
+    fun progress(): ProgressRecord = ProgressRecord(steps.values.map { it.progress() })
+
+    /** What is kept of the job, which has ended. */
+    fun finished(): FinishedJob =
+        FinishedJob(id, queue, phase, checkNotNull(endedAt) { "job $id has not ended" }.toEpochMilli(), reason)
 
     fun restore(record: ProgressRecord) {
-        phase = record.phase
-        storedPhase = record.phase
-        reason = record.reason
-        endedAt = record.endedAtEpochMillis?.let(Instant::ofEpochMilli)
         record.steps
             .map { it.occurrence }
             .distinct()
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Journal.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Journal.kt
@@ -1,5 +1,7 @@
 package org.anvilbarrow.kernel.jobs
 
+import kotlinx.serialization.KSerializer
+import org.anvilbarrow.protocol.jobs.FinishedJobsRecord
 import org.anvilbarrow.protocol.jobs.KeyedRecord
 import org.anvilbarrow.protocol.jobs.ProgressRecord
 import org.anvilbarrow.protocol.jobs.RecordCodec
@@ -9,23 +11,20 @@
 import java.time.Duration
 import java.time.Instant
 
-/** Keys of the shard's topic. */
-public object JobKeys {
-    public const val SUBMISSION: String = "j/"
-    public const val PROGRESS: String = "p/"
-    public const val UPSTREAM: String = "u/"
-}
-
 /**
  * Collects what has to be stored and what waits for it.
  *
  * One batch is open at a time. A change that is made while a batch is open goes into the next one, together with all
  * others until then.
  */
-internal class Journal {
+internal class Journal(
+    private val finished: FinishedJobs,
+    /** Called when the end of a job is stored. */
+    private val onFinished: (JobRun) -> Unit,
+) {
     private val submissions = LinkedHashSet<JobRun>()
     private val changed = LinkedHashSet<JobRun>()
-    private val forgotten = LinkedHashSet<JobRun>()
+    private val forgottenGroups = LinkedHashSet<Long>()
     private val upstreams = LinkedHashMap<UpstreamId, UsedUpstreamRecord?>()
     private var afterNext = ArrayList<() -> Unit>()
     private var afterOpen: List<() -> Unit> = emptyList()
@@ -35,12 +34,14 @@
         submissions += job
     }
 
+    /** Nothing is stored of a job after its end. */
     fun changed(job: JobRun) {
-        changed += job
+        if (!job.endHandedToStore) changed += job
     }
 
-    fun forgotten(job: JobRun) {
-        forgotten += job
+    /** The groups [numbers] of finished jobs are dropped. */
+    fun forgotten(numbers: Set<Long>) {
+        forgottenGroups += numbers
     }
 
     fun upstream(
@@ -86,35 +87,42 @@
 
     private fun takeRecords(): List<KeyedRecord> {
         val records = ArrayList<KeyedRecord>()
-        submissions.mapTo(records) {
-            KeyedRecord(
-                JobKeys.SUBMISSION + it.id,
-                RecordCodec.encode(SubmissionRecord.serializer(), it.submission),
-            )
+        val (ended, open) = changed.partition { it.phase.isFinal }
+        (submissions - ended.toSet()).mapTo(records) {
+            record(JobKeys.SUBMISSION + it.id, SubmissionRecord.serializer(), it.submission)
         }
-        changed.filter { it !in forgotten }.mapTo(records) { job ->
-            val phase = job.phase
-            afterNext += { job.storedPhase = phase }
-            KeyedRecord(
-                JobKeys.PROGRESS + job.id,
-                RecordCodec.encode(ProgressRecord.serializer(), job.progress()),
-            )
+        open.mapTo(records) { record(JobKeys.PROGRESS + it.id, ProgressRecord.serializer(), it.progress()) }
+        records += endRecords(ended)
+        upstreams.mapTo(records) { (id, used) ->
+            record(JobKeys.UPSTREAM + id, UsedUpstreamRecord.serializer(), used)
         }
-        forgotten.forEach {
-            records += KeyedRecord(JobKeys.PROGRESS + it.id, null)
-            records += KeyedRecord(JobKeys.SUBMISSION + it.id, null)
+        listOf(submissions, changed, forgottenGroups).forEach { it.clear() }
+        upstreams.clear()
+        return records
+    }
+
+    /** Finished jobs leave their own records and are stored in groups. */
+    private fun endRecords(ended: List<JobRun>): List<KeyedRecord> {
+        val records = ArrayList<KeyedRecord>()
+        ended.forEach { job ->
+            job.endHandedToStore = true
+            records += KeyedRecord(JobKeys.PROGRESS + job.id, null)
+            records += KeyedRecord(JobKeys.SUBMISSION + job.id, null)
+            afterNext += { onFinished(job) }
         }
-        upstreams.mapTo(records) { (id, record) ->
-            KeyedRecord(
-                JobKeys.UPSTREAM + id,
-                record?.let { RecordCodec.encode(UsedUpstreamRecord.serializer(), it) },
-            )
+        (finished.add(ended.map { it.finished() }) + forgottenGroups).mapTo(records) { group ->
+            record(JobKeys.FINISHED + group, FinishedJobsRecord.serializer(), finished.recordOf(group))
         }
-        listOf(submissions, changed, forgotten).forEach { it.clear() }
-        upstreams.clear()
         return records
     }
 
+    /** Without a [value], the key is dropped. */
+    private fun <T> record(
+        key: String,
+        serializer: KSerializer<T>,
+        value: T?,
+    ) = KeyedRecord(key, value?.let { RecordCodec.encode(serializer, it) })
+
     /** The open batch is stored. */
     fun stored() {
         openSince = null
--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/StoredShard.kt
@@ -0,0 +1,58 @@
+package org.anvilbarrow.kernel.jobs
+
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.serialization.KSerializer
+import org.anvilbarrow.protocol.jobs.FinishedJobsRecord
+import org.anvilbarrow.protocol.jobs.JobId
+import org.anvilbarrow.protocol.jobs.ProgressRecord
+import org.anvilbarrow.protocol.jobs.RecordCodec
+import org.anvilbarrow.protocol.jobs.SubmissionRecord
+import org.anvilbarrow.protocol.jobs.UsedUpstreamRecord
+
+/** Keys of the shard's topic. */
+public object JobKeys {
+    public const val SUBMISSION: String = "j/"
+    public const val PROGRESS: String = "p/"
+
+    /** Groups of finished jobs, by number. */
+    public const val FINISHED: String = "f/"
+    public const val UPSTREAM: String = "u/"
+}
+
+/** Decodes the newest records of a shard's topic; a record that cannot be read is passed to [onUnreadable]. */
+public class StoredShard(
+    private val values: Map<String, ByteArray>,
+    private val onUnreadable: (key: String) -> Unit,
+) {
+    /** Returns what the records hold, jobs in the order in which they were accepted. */
+    public fun decode(): LoadedShard =
+        LoadedShard(
+            jobs().sortedBy { it.submission.acceptedAtEpochMillis }.toPersistentList(),
+            records(JobKeys.UPSTREAM, UsedUpstreamRecord.serializer()).values.toPersistentList(),
+            finished().toPersistentMap(),
+        )
+
+    private fun jobs(): List<LoadedJob> {
+        val progress = records(JobKeys.PROGRESS, ProgressRecord.serializer())
+        return records(JobKeys.SUBMISSION, SubmissionRecord.serializer())
+            .map { (id, submission) -> LoadedJob(JobId(id), submission, progress[id]) }
+    }
+
+    private fun finished(): Map<Long, FinishedJobsRecord> =
+        records(JobKeys.FINISHED, FinishedJobsRecord.serializer())
+            .mapKeys { (name, _) -> name.toLongOrNull() ?: -1 }
+            .filterKeys { it >= 0 }
+
+    private fun <T> records(
+        prefix: String,
+        serializer: KSerializer<T>,
+    ): Map<String, T> {
+        val decoded = LinkedHashMap<String, T>()
+        values.filterKeys { it.startsWith(prefix) }.forEach { (key, bytes) ->
+            val record = RecordCodec.decode(serializer, bytes)
+            if (record == null) onUnreadable(key) else decoded[key.removePrefix(prefix)] = record
+        }
+        return decoded
+    }
+}
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
@@ -7,10 +7,10 @@
 import org.anvilbarrow.protocol.jobs.JobRequest
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.hasSize
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
-import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import strikt.assertions.isNull
 import java.time.Duration
@@ -235,9 +235,37 @@
         world.run(second)
         world.submit("a", step(1))
         world.run(second.multipliedBy(5))
-        expectThat(world.store.keys.count { it.endsWith("/a") }).isGreaterThan(1)
+        expectThat(world.phase("a")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.store.keys.filter { it.startsWith(JobKeys.FINISHED) }).hasSize(1)
         world.run(Duration.ofSeconds(130))
         expectThat(world.phase("a")).isNull()
-        expectThat(world.store.keys.count { it.endsWith("/a") }).isEqualTo(0)
+        expectThat(world.store.keys.filter { !it.startsWith(JobKeys.UPSTREAM) }).isEmpty()
+    }
+
+    /** Guards against a takeover that reads two records for each of a thousand finished jobs. */
+    @Test
+    fun `finished jobs are stored in groups and known to a successor`() {
+        val world = JobWorld()
+        world.run(second)
+        repeat(70) { world.submit("job$it", step(1, millis = 100)) }
+        val cancelled = world.submit("cancelled", step(1, millis = 60_000))
+        world.run(second.multipliedBy(8))
+        world.ask(JobRequest.Cancel(JobId("cancelled"), "q"))
+        world.run(second)
+        expectThat(world.answers[cancelled]).isEqualTo(JobAnswer.Accepted)
+        expectThat(world.store.keys.filter { !it.startsWith(JobKeys.UPSTREAM) }).hasSize(3)
+        world.takeOver()
+        world.run(second)
+        expectThat(world.phase("job69")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.phase("cancelled")).isEqualTo(JobPhase.CANCELLED)
+        val again = world.submit("job69", step(1, millis = 100))
+        val elsewhere = world.submit("job68", step(1, millis = 100), queue = "other")
+        val cancel = world.ask(JobRequest.Cancel(JobId("job67"), "q"))
+        world.run(second.multipliedBy(2))
+        expectThat(world.answers[again]).isEqualTo(JobAnswer.Accepted)
+        expectThat(world.answers[elsewhere]).isA<JobAnswer.Invalid>()
+        expectThat(world.answers[cancel]).isEqualTo(JobAnswer.Cancelled)
+        expectThat(world.startsAt.size).isEqualTo(71)
+        expectThat(world.broken).isEmpty()
     }
 }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -1,24 +1,20 @@
 package org.anvilbarrow.kernel.jobs
 
 import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.toPersistentList
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.JobPhase
 import org.anvilbarrow.protocol.jobs.JobRequest
 import org.anvilbarrow.protocol.jobs.JobSpec
-import org.anvilbarrow.protocol.jobs.ProgressRecord
-import org.anvilbarrow.protocol.jobs.RecordCodec
 import org.anvilbarrow.protocol.jobs.StepRef
 import org.anvilbarrow.protocol.jobs.StepSpec
-import org.anvilbarrow.protocol.jobs.SubmissionRecord
 import org.anvilbarrow.protocol.jobs.TaskRef
 import org.anvilbarrow.protocol.jobs.Ticket
-import org.anvilbarrow.protocol.jobs.UsedUpstreamRecord
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.UpstreamId
 import java.time.Duration
 import java.time.Instant
+import java.util.BitSet
 import java.util.PriorityQueue
 import kotlin.random.Random
 
@@ -105,20 +101,7 @@
     fun takeOver() {
         token += 10
         openStore = null
-        val loaded =
-            LoadedShard(
-                records(JobKeys.SUBMISSION, SubmissionRecord.serializer())
-                    .map { (id, submission) ->
-                        val progress = store[JobKeys.PROGRESS + id]
-                        LoadedJob(
-                            JobId(id),
-                            submission,
-                            progress?.let { RecordCodec.decode(ProgressRecord.serializer(), it) },
-                        )
-                    }.toPersistentList(),
-                records(JobKeys.UPSTREAM, UsedUpstreamRecord.serializer()).map { it.second }.toPersistentList(),
-            )
-        val next = Cell(token, limits, loaded, now)
+        val next = Cell(token, limits, stored(), now)
         owner = next
         give(
             CellEvent.Configured(
@@ -129,13 +112,7 @@
         give(CellEvent.Listed(workers.values.filter { it.listed }.map { it.entry }))
     }
 
-    private fun <T> records(
-        prefix: String,
-        serializer: kotlinx.serialization.KSerializer<T>,
-    ): List<Pair<String, T>> =
-        store.filterKeys { it.startsWith(prefix) }.map { (key, value) ->
-            key.removePrefix(prefix) to checkNotNull(RecordCodec.decode(serializer, value))
-        }
+    private fun stored(): LoadedShard = StoredShard(store) { error("record $it cannot be read") }.decode()
 
     fun give(event: CellEvent) {
         val handling = cell
@@ -179,9 +156,14 @@
     }
 
     private fun jobsQueue(id: String): String =
-        store[JobKeys.SUBMISSION + id]
-            ?.let { RecordCodec.decode(SubmissionRecord.serializer(), it)?.queue }
-            ?: queues.first().name
+        stored().run {
+            jobs.find { it.id.value == id }?.submission?.queue
+                ?: finished.values
+                    .flatMap { it.jobs }
+                    .find { it.job.value == id }
+                    ?.queue
+                ?: queues.first().name
+        }
 
     fun specOf(task: TaskRef): StepSpec = specs.getValue(task.step.job).steps[task.step.step]
 
@@ -348,11 +330,21 @@
         ends.filter { it.end == RunEnd.DONE }.forEach {
             noted += it.task
             endedDone += it.task
-            val progress = store[JobKeys.PROGRESS + it.task.step.job]
-            if (progress == null) broken += "LOST: ${it.task} ended on ${worker.id}, acknowledged before it was stored"
+            if (!isStored(it.task)) {
+                broken +=
+                    "LOST: ${it.task} ended on ${worker.id}, acknowledged before it was stored"
+            }
         }
     }
 
+    private fun isStored(end: TaskRef): Boolean {
+        val shard = stored()
+        val job = shard.jobs.find { it.id == end.step.job }
+        val step = job?.progress?.steps?.find { it.occurrence == end.step.occurrence && it.step == end.step.step }
+        val isDone = step != null && BitSet.valueOf(step.done).get(end.index)
+        return isDone || shard.finished.values.any { group -> group.jobs.any { it.job == end.step.job } }
+    }
+
     companion object {
         private val TICK = Duration.ofMillis(50)
         private val LIST_POLL = Duration.ofMillis(400)
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
@@ -30,15 +30,10 @@
     val acceptedAtEpochMillis: Long,
 )
 
-/** Stored whenever the progress of a job changed. */
+/** Stored whenever the progress of a job changed that has not ended. */
 @Serializable
 public data class ProgressRecord(
-    val phase: JobPhase,
     val steps: List<StepProgress> = emptyList(),
-    /** Reason of a phase that is final and not [JobPhase.COMPLETED]. */
-    val reason: String? = null,
-    /** When the phase became final, or null. */
-    val endedAtEpochMillis: Long? = null,
 )
 
 /** What is stored of one step of one occurrence. */
@@ -71,6 +66,24 @@
     }
 }
 
+/** Stored for several finished jobs, so that a new owner reads one record for many jobs. */
+@Serializable
+public data class FinishedJobsRecord(
+    val jobs: List<FinishedJob>,
+)
+
+/** What is kept of a finished job until callers can no longer ask for it. */
+@Serializable
+public data class FinishedJob(
+    val job: JobId,
+    /** Name of the queue that the job was handed in on. */
+    val queue: String,
+    val phase: JobPhase,
+    val endedAtEpochMillis: Long,
+    /** Reason of a phase that is not [JobPhase.COMPLETED]. */
+    val reason: String? = null,
+)
+
 /** Stored for each upstream that may run tasks of a shard. */
 @Serializable
 public data class UsedUpstreamRecord(
