Move runs off upstreams that leave, and drop empty ones at once

Change: runs that cannot end before their upstream leaves are stopped, a gang as a whole; an upstream that is unlisted, does not answer and runs nothing is dropped at once; owners without a confirmed claim renew leases for 5 s instead of 10, so a successor waits 11 s at most, and running work still outlives 10 s without a store. CellTest: three cases; the first and third fail before.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -24,6 +24,7 @@
     private val runs: RunDesk = RunDesk(state, leases, outcomes)
     private val watch = UpstreamWatch(state, leases, runs)
     private val dispatcher = Dispatcher(state, runs)
+    private val evacuation = Evacuation(state, runs)
 
     init {
         watch.load(loaded)
@@ -92,6 +93,7 @@
     private fun tick() {
         jobs.tick()
         runs.tick()
+        evacuation.tick()
         dispatcher.tick()
         watch.tick()
         // Tickets lapse and quarantines end without an event.
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellConfig.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellConfig.kt
@@ -64,9 +64,12 @@
     val labels: ImmutableSet<String> = persistentSetOf(),
     /** Label that names its rack, or null. */
     val rack: String? = null,
+    /** Shortest time after which the upstream leaves, or null if it has not announced that it leaves. */
+    val leavesIn: Duration? = null,
+) {
     /** True once the upstream has announced that it leaves. */
-    val draining: Boolean = false,
-)
+    val draining: Boolean get() = leavesIn != null
+}
 
 /** What the owner of a shard read from the store at its claim. */
 public data class LoadedShard(
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -19,8 +19,12 @@
     val clockSlowness: Double = 1.02,
     /** Added to the end of a lease before it is taken as lapsed: transport and stop of the tasks. */
     val lapseMargin: Duration = Duration.ofMillis(500),
-    /** How long an owner without a confirmed claim renews leases. */
-    val unconfirmedRenewal: Duration = Duration.ofSeconds(10),
+    /**
+     * How long an owner without a confirmed claim renews leases.
+     *
+     * With [lease], what runs outlives a store that is away for 10 s. A successor waits for both where it cannot look.
+     */
+    val unconfirmedRenewal: Duration = Duration.ofSeconds(5),
     /** Pause before an unanswered order is sent again. */
     val orderRetry: Duration = Duration.ofMillis(300),
     /** Unanswered starts in a row before the run is stopped instead. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
@@ -216,8 +216,10 @@
             Run(row.task, row.run, upstream, step, step?.spec?.countedResources() ?: Resources.NONE).apply {
                 status = Run.Status.STARTED
                 answeredAt = state.now
-                startedAt = state.now
+                // When the run began is not known; its progress tells roughly.
+                startedAt = state.now.minusMillis((step?.spec?.estimatedMillis ?: 0) * row.percent / COMPLETE_PERCENT)
                 progressedAt = state.now
+                percent = row.percent
             }
         upstream.add(run)
         state.decided("run-found", row.task, "run ${row.run} on $upstream, ${if (wanted) "adopted" else "stopped"}")
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
@@ -14,6 +14,9 @@
     /** Last entry in the platform's list, or null for an upstream known only from the store. */
     var entry: UpstreamEntry? = null
     var isListed = false
+
+    /** Earliest time at which the upstream leaves, or null if it stays. */
+    var leavesAt: Instant? = null
     val runs = HashMap<TaskRef, Run>()
 
     /** Room that is taken, by [Run] until the end of the run is certain. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -31,6 +31,7 @@
             val upstream = state.upstreams.getOrPut(entry.id) { discovered(entry) }
             if (!upstream.isListed) state.decided("upstream-listed", upstream, "at ${entry.address}")
             if (upstream.entry?.draining != true && entry.draining) state.decided("upstream-draining", upstream, "")
+            if (upstream.entry?.leavesIn != entry.leavesIn) upstream.leavesAt = entry.leavesIn?.let(state.now::plus)
             upstream.entry = entry
             upstream.address = entry.address
             upstream.isListed = true
@@ -106,12 +107,16 @@
     fun tick() {
         state.upstreams.values.toList().forEach { upstream ->
             when {
-                upstream.failedLooks > 0 && leases.haveLapsed(upstream) -> unreachable(upstream)
+                upstream.failedLooks > 0 && isGoneForSure(upstream) -> unreachable(upstream)
                 !upstream.lookOpen && !state.now.isBefore(upstream.nextLookAt) -> look(upstream)
             }
         }
     }
 
+    /** An upstream that this owner has looked at, where nothing ran since, needs no wait once it is unlisted. */
+    private fun isGoneForSure(upstream: Upstream): Boolean =
+        leases.haveLapsed(upstream) || (!upstream.isListed && upstream.seenAt != null && upstream.runs.isEmpty())
+
     /** No lease of this owner runs there any more, so nothing of the shard does. */
     private fun unreachable(upstream: Upstream) {
         if (!upstream.isListed) return gone(upstream, "it is not listed and its leases have lapsed")
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
@@ -15,8 +15,8 @@
     val silenceAfterLinkLoss: Duration = Duration.ofMillis(750),
     /** Shortest time that a read waits for a record. */
     val minReadWait: Duration = Duration.ofMillis(50),
-    /** Renewals after which owners before the present one have stopped: 10 s at [renewal]. */
-    val renewalsOfSettledOwner: Int = 22,
+    /** Renewals after which owners before the present one have stopped: 6 s at [renewal], for 5 s without one. */
+    val renewalsOfSettledOwner: Int = 12,
     /** Pause after a read or append that failed. */
     val retry: Duration = Duration.ofMillis(200),
 )
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
@@ -7,6 +7,7 @@
 import org.anvilbarrow.protocol.jobs.JobRequest
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.doesNotContain
 import strikt.assertions.hasSize
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
@@ -242,6 +243,53 @@
         expectThat(world.store.keys.filter { !it.startsWith(JobKeys.UPSTREAM) }).isEmpty()
     }
 
+    /** Guards against work that is lost with its upstream and waits for the leases there. */
+    @Test
+    fun `a run that cannot end before its upstream leaves starts elsewhere in time`() {
+        val world = JobWorld(workers = 2)
+        world.run(second)
+        world.submit("a", step(1, millis = 6_000))
+        world.run(second)
+        val host = world.workers.values.single { it.running.isNotEmpty() }
+        host.leavesIn = second.multipliedBy(3)
+        world.run(Duration.ofMillis(3_500))
+        host.listed = false
+        world.cut += host.id
+        world.run(second.multipliedBy(4))
+        expectThat(world.phase("a")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.startsAt.size).isEqualTo(2)
+        expectThat(world.broken).isEmpty()
+    }
+
+    /** Guards against work that is thrown away although there was time for it. */
+    @Test
+    fun `a run that ends before its upstream leaves stays there`() {
+        val world = JobWorld(workers = 2)
+        world.run(second)
+        world.submit("a", step(1, millis = 3_000))
+        world.run(second)
+        world.workers.values
+            .single { it.running.isNotEmpty() }
+            .leavesIn = second.multipliedBy(3)
+        world.run(second.multipliedBy(3))
+        expectThat(world.phase("a")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.startsAt.size).isEqualTo(1)
+    }
+
+    /** Guards against successors that wait for the leases of an upstream that left without work. */
+    @Test
+    fun `an upstream that left when nothing ran there is dropped at once`() {
+        val world = JobWorld(workers = 2)
+        world.run(second)
+        world.submit("a", step(2, millis = 500, cpuMillicores = 60_000))
+        world.run(second.multipliedBy(3))
+        val left = world.workers.values.first()
+        left.listed = false
+        world.cut += left.id
+        world.run(Duration.ofMillis(2_500))
+        expectThat(world.store.keys).doesNotContain(JobKeys.UPSTREAM + left.id)
+    }
+
     /** Guards against a takeover that reads two records for each of a thousand finished jobs. */
     @Test
     fun `finished jobs are stored in groups and known to a successor`() {
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
@@ -22,7 +22,7 @@
 
     var life = 1L
     var listed = true
-    var draining = false
+    var leavesIn: Duration? = null
     var failsEverything = false
     var hangs = false
     private var bornAt = world.now
@@ -39,7 +39,7 @@
     fun clock(): Long = Duration.between(bornAt, world.now).toMillis()
 
     val entry: UpstreamEntry
-        get() = UpstreamEntry(id, "$id:1", "pool", "domain", capacity, draining = draining)
+        get() = UpstreamEntry(id, "$id:1", "pool", "domain", capacity, leavesIn = leavesIn)
 
     fun restart() {
         running.clear()
