Start nothing beside a run of unknown size

Cause: a successor does not know the size of runs of jobs that have ended, and counted them as nothing while they were being stopped. Change: an upstream with such a run gets no work until the run has ended, which takes one stop. CellTest has the case and fails before.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
@@ -74,9 +74,12 @@
     /** True if the upstream may get new work. */
     fun isUsable(now: Instant): Boolean {
         val listed = entry?.takeIf { isListed } ?: return false
-        return !listed.draining && seenAt != null && failedLooks == 0 && isTrusted(now)
+        return !listed.draining && seenAt != null && failedLooks == 0 && isTrusted(now) && isRoomKnown()
     }
 
+    /** A run of a job that is not known takes room of unknown size until it has ended. */
+    private fun isRoomKnown(): Boolean = runs.values.none { it.step == null }
+
     private fun isTrusted(now: Instant): Boolean =
         failuresInRow == 0 || (now.isAfter(quarantinedUntil) && (quarantinedUntil == Instant.MIN || runs.isEmpty()))
 
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
@@ -290,6 +290,25 @@
         expectThat(world.store.keys).doesNotContain(JobKeys.UPSTREAM + left.id)
     }
 
+    /** Guards against an upstream that is filled while a run of a finished job, whose size is not stored, still ends. */
+    @Test
+    fun `a successor starts nothing on an upstream until runs of unknown size have ended`() {
+        val world = JobWorld(workers = 1)
+        world.run(second)
+        world.submit("a", step(1, cpuMillicores = 60_000, millis = 60_000))
+        world.run(second)
+        world.workers.values
+            .first()
+            .stopTime = Duration.ofMillis(900)
+        world.ask(JobRequest.Cancel(JobId("a"), "q"))
+        world.run(Duration.ofMillis(100))
+        world.takeOver()
+        world.submit("b", step(1, cpuMillicores = 60_000, millis = 500))
+        world.run(second.multipliedBy(4))
+        expectThat(world.phase("b")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.broken).isEmpty()
+    }
+
     /** Guards against a takeover that reads two records for each of a thousand finished jobs. */
     @Test
     fun `finished jobs are stored in groups and known to a successor`() {
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
@@ -18,13 +18,18 @@
         val startedAt: Instant,
         val endsAt: Instant,
         val size: Resources,
-    )
+    ) {
+        var stopsAt: Instant? = null
+    }
 
     var life = 1L
     var listed = true
     var leavesIn: Duration? = null
     var failsEverything = false
     var hangs = false
+
+    /** How long a run takes to end after it was told to stop. */
+    var stopTime: Duration = Duration.ZERO
     private var bornAt = world.now
     private var highestToken = 0L
     private var leaseUntil = 0L
@@ -103,12 +108,14 @@
         if (order.token < highestToken) return StopResult.DISPLACED
         highestToken = order.token
         closedRuns.merge(order.task, order.run, ::maxOf)
-        running[order.task]?.takeIf { it.run <= order.run }?.let { end(it, RunEnd.STOPPED) }
+        running[order.task]?.takeIf { it.run <= order.run }?.let { it.stopsAt = it.stopsAt ?: world.now.plus(stopTime) }
+        advance()
         return StopResult.ACCEPTED
     }
 
     /** Ends what is due: finished runs and, after the lease, everything. */
     fun advance() {
+        running.values.filter { it.stopsAt?.isAfter(world.now) == false }.forEach { end(it, RunEnd.STOPPED) }
         if (clock() > leaseUntil) running.values.toList().forEach { end(it, RunEnd.LAPSED) }
         if (hangs) return
         running.values.filter { !it.endsAt.isAfter(world.now) }.forEach {
