Let a request wait for the owner that replaces a dead one

Cause: a request was refused after 0.6 s without an owner and its caller told to come back after 1 s, while a dead owner is replaced after 0.9 s and a silent one after 1.4 s. Change: it waits for 1.4 s, and a request that was never sent is refused, not unknown, when its time is up. OwnerGatewayTest has both cases.

--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
@@ -157,15 +157,17 @@
         var until = start.plus(OWNER_WAIT)
         while (until.isBefore(deadline)) {
             answer(call, until)?.let { return it }
-            if (call.closeIfUnsent()) {
-                return JobAnswer.Refused("no owner of shard ${call.shard} is connected", RETRY_AFTER.toMillis())
-            }
+            if (call.closeIfUnsent()) return noOwner(call)
             until = until.plus(OWNER_WAIT)
         }
         return answer(call, deadline)
+            ?: noOwner(call).takeIf { call.closeIfUnsent() }
             ?: JobAnswer.Unknown("the owner of shard ${call.shard} (${call.sentTo}) has not answered in time")
     }
 
+    private fun noOwner(call: OpenCall) =
+        JobAnswer.Refused("no owner of shard ${call.shard} is connected", RETRY_AFTER.toMillis())
+
     /** Waits for the answer until [deadline]; returns null if there is none. */
     private fun answer(
         call: OpenCall,
@@ -206,10 +208,14 @@
         /** An owner answers within one append (70 ms from another region), unless the store is slow. */
         val RESEND: Duration = Duration.ofMillis(800)
 
-        /** How long a request waits for an owner to send it to; a planned handover takes 300 ms. */
-        val OWNER_WAIT: Duration = Duration.ofMillis(600)
+        /**
+         * How long a request waits for an owner to send it to.
+         *
+         * A dead owner is replaced after 0.9 s, a silent one after 1.4 s. A caller that is refused comes back later.
+         */
+        val OWNER_WAIT: Duration = Duration.ofMillis(1_400)
 
-        /** A takeover ends within 3 s; callers that come back spread over it. */
+        /** After [OWNER_WAIT], processes are still starting or cut off; the header counts whole seconds. */
         val RETRY_AFTER: Duration = Duration.ofSeconds(1)
     }
 }
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
@@ -52,6 +52,26 @@
         expectThat(sent).hasSize(0)
     }
 
+    /** Guards against callers that are sent away during a takeover and come back a second later. */
+    @Test
+    fun `a request waits for the owner that replaces a dead one`() {
+        owner = null
+        val answer = ask(status)
+        Thread.sleep(1_000)
+        owner = "b"
+        gateway.resend { "b" }
+        awaitSent(1)
+        gateway.answered(sent.single(), JobAnswer.Accepted)
+        expectThat(answer.join()).isEqualTo(JobAnswer.Accepted)
+    }
+
+    /** Guards against an unknown outcome where the request certainly was not sent. */
+    @Test
+    fun `a request whose time is up before there is an owner is refused`() {
+        owner = null
+        expectThat(gateway.ask(status, Duration.ofMillis(200))).isA<JobAnswer.Refused>()
+    }
+
     @Test
     fun `a request that was sent and not answered has an unknown outcome`() {
         expectThat(gateway.ask(status, Duration.ofMillis(700))).isA<JobAnswer.Unknown>()
