--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
@@ -11,7 +11,7 @@
     val renewal: Duration = Duration.ofMillis(500),
     /** An owner that did not renew for this time is replaced: one renewal may be lost, and the next be 250 ms late. */
     val silence: Duration = Duration.ofMillis(1_250),
-    /** The same if the connection to the owner broke, which a dead process shows at once; a reset one is back by then. */
+    /** The same if the connection to the owner broke, as that of a dead process does; a reset one is back by then. */
     val silenceAfterLinkLoss: Duration = Duration.ofMillis(750),
     /** Shortest time that a read waits for a record. */
     val minReadWait: Duration = Duration.ofMillis(50),
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
@@ -290,7 +290,7 @@
         expectThat(world.store.keys).doesNotContain(JobKeys.UPSTREAM + left.id)
     }
 
-    /** Guards against an upstream that is filled while a run of a finished job, whose size is not stored, still ends. */
+    /** Guards against an upstream that is filled while a run of a finished job, whose size is not stored, ends. */
     @Test
     fun `a successor starts nothing on an upstream until runs of unknown size have ended`() {
         val world = JobWorld(workers = 1)
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/ownership/ShardClaimTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/ownership/ShardClaimTest.kt
@@ -163,7 +163,7 @@
         expectThat(world.owners()).single().get { claim.token!! }.isGreaterThan(token!!)
     }
 
-    /** Guards against processes that started in the same millisecond and are taken for one: nobody heard of the owner. */
+    /** Guards against processes that started in one millisecond and are taken for one: nobody heard of the owner. */
     @Test
     fun `all processes are told of a new owner that started when the earlier one did`() {
         val world = ClaimWorld()
