--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/logging/LogConfigurationTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/logging/LogConfigurationTest.kt
@@ -2,11 +2,17 @@
 
 import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.util.LogbackMDCAdapter
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.anvilbarrow.adapters.settings.LogFormat
+import org.anvilbarrow.adapters.telemetry.LogOutput
+import org.anvilbarrow.protocol.codec.strictJson
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.isEqualTo
 import strikt.assertions.single
 import java.io.ByteArrayOutputStream
 import java.io.OutputStream
@@ -70,6 +76,23 @@
         expectThat(output.written.toString()).contains("INFO  anvilbarrow.cell: line 0\n")
     }
 
+    /** Guards against a setting for JSON lines that does not reach the output behind the queue. */
+    @Test
+    fun `the format of the settings reaches standard output`() {
+        output.opened.countDown()
+        LogOutput.use(LogFormat.JSON, context)
+        context.getLogger("anvilbarrow.cell").info("a line")
+        context.stop()
+        val line =
+            output.written
+                .toString()
+                .lines()
+                .single { it.isNotEmpty() }
+        expectThat(strictJson.parseToJsonElement(line).jsonObject)
+            .get { getValue("message").jsonPrimitive.content }
+            .isEqualTo("a line")
+    }
+
     /** Guards against the thousands of lines that libraries write at their lower levels. */
     @Test
     fun `libraries log warnings only`() {
