Use the proof's timeline in the tests of jobs and claims

JobWorld and ShardClaimTest each had a queue of due actions of their own beside 'Timeline', which takes durations now. No case and no assertion changed.

--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/CellTest.kt
@@ -1,6 +1,5 @@
 package org.anvilbarrow.kernel.jobs
 
-import org.anvilbarrow.kernel.jobs.JobWorld.Companion.step
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.JobPhase
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -1,6 +1,7 @@
 package org.anvilbarrow.kernel.jobs
 
 import kotlinx.collections.immutable.persistentMapOf
+import org.anvilbarrow.kernel.proof.Timeline
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.JobPhase
@@ -14,8 +15,8 @@
 import org.anvilbarrow.protocol.model.UpstreamId
 import java.time.Duration
 import java.time.Instant
+import java.time.temporal.ChronoUnit
 import java.util.BitSet
-import java.util.PriorityQueue
 import kotlin.random.Random
 
 /**
@@ -31,13 +32,8 @@
     private val limits: CellLimits = CellLimits(),
     private val queues: List<QueueConfig> = listOf(queue("q", advice)),
 ) {
-    private class Due(
-        val at: Instant,
-        val order: Long,
-        val task: () -> Unit,
-    )
-
-    var now: Instant = Instant.ofEpochSecond(1_000_000)
+    private val timeline = Timeline()
+    val now: Instant get() = START.plus(timeline.nowMicros, ChronoUnit.MICROS)
     val maxLease: Duration = Duration.ofSeconds(10)
     val random = Random(seed)
     val latency: Duration = Duration.ofMillis(3)
@@ -62,8 +58,6 @@
     var lateBy: Duration = Duration.ofSeconds(3)
     val startsAt = ArrayList<Instant>()
     private val specs = HashMap<JobId, JobSpec>()
-    private val dueTasks = PriorityQueue<Due> { a, b -> compareValuesBy(a, b, { it.at }, { it.order }) }
-    private var lastOrder = 0L
     private var lastCall = 0L
     private var token = 0L
     private var owner: Cell? = null
@@ -83,20 +77,14 @@
         pause: Duration,
         task: () -> Unit,
     ) {
-        dueTasks += Due(now.plus(pause), ++lastOrder, task)
-    }
-
-    fun run(time: Duration) {
-        val end = now.plus(time)
-        while (dueTasks.isNotEmpty() && !dueTasks.peek().at.isAfter(end)) {
-            val due = dueTasks.poll()
-            now = maxOf(now, due.at)
+        timeline.after(pause) {
             workers.values.forEach { it.advance() }
-            due.task()
+            task()
         }
-        now = end
     }
 
+    fun run(time: Duration): Unit = timeline.run(time)
+
     /** The owner dies, and another process takes the shard over at once. */
     fun takeOver() {
         token += 10
@@ -346,26 +334,11 @@
     }
 
     companion object {
+        private val START = Instant.ofEpochSecond(1_000_000)
         private val TICK = Duration.ofMillis(50)
         private val LIST_POLL = Duration.ofMillis(400)
         private val APPEND = Duration.ofMillis(10)
         private val TIMEOUT = Duration.ofMillis(900)
         private val CANCEL = Duration.ofSeconds(3)
-
-        fun queue(
-            name: String,
-            advice: AdviceTerms? = null,
-            priority: Int = 1,
-            stretch: Double = 2.0,
-            target: Duration = Duration.ofSeconds(1),
-        ) = QueueConfig(name, "host", "/$name/", "pool", priority, 3, stretch, target, advice)
-
-        fun step(
-            tasks: Int,
-            cpuMillicores: Int = 4_000,
-            millis: Long = 1_000,
-            vararg dependsOn: Int,
-            gang: Boolean = false,
-        ) = StepSpec(tasks, Resources(cpuMillicores, 1_000), millis, dependsOn.toList(), gang)
     }
 }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/ownership/ShardClaimTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/ownership/ShardClaimTest.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.kernel.ownership
 
+import org.anvilbarrow.kernel.proof.Timeline
 import org.anvilbarrow.protocol.jobs.ClaimRecord
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -12,23 +13,16 @@
 import strikt.assertions.single
 import java.time.Duration
 import java.time.Instant
-import java.util.PriorityQueue
+import java.time.temporal.ChronoUnit
 
 /** Claims of several processes on one log, with answers that are lost and processes that die. */
 class ShardClaimTest {
-    private class Due(
-        val at: Instant,
-        val order: Long,
-        val task: () -> Unit,
-    )
-
     /** A log with conditional appends, and processes that reach it after [delay]. */
     private class ClaimWorld {
-        var now: Instant = Instant.ofEpochSecond(1_000)
+        private val timeline = Timeline()
+        val now: Instant get() = START.plus(timeline.nowMicros, ChronoUnit.MICROS)
         val log = ArrayList<ClaimRecord>()
         val delay: Duration = Duration.ofMillis(10)
-        private val due = PriorityQueue<Due> { a, b -> compareValuesBy(a, b, { it.at }, { it.order }) }
-        private var order = 0L
         val members = HashMap<String, Member>()
 
         inner class Member(
@@ -111,24 +105,14 @@
         fun after(
             pause: Duration,
             task: () -> Unit,
-        ) {
-            due += Due(now.plus(pause), ++order, task)
-        }
+        ): Unit = timeline.after(pause, task)
 
         fun add(
             name: String,
             incarnation: Long = 1,
         ): Member = Member(name, incarnation).also { members[name] = it }.also { it.tick() }
 
-        fun run(time: Duration) {
-            val end = now.plus(time)
-            while (due.isNotEmpty() && !due.peek().at.isAfter(end)) {
-                val next = due.poll()
-                now = next.at
-                next.task()
-            }
-            now = end
-        }
+        fun run(time: Duration): Unit = timeline.run(time)
 
         fun owners() = members.values.filter { it.alive && it.claim.token != null }
     }
@@ -273,4 +257,8 @@
         val holders = world.log.groupBy { it.token }.mapValues { (_, records) -> records.map { it.address }.distinct() }
         expectThat(holders.filterValues { it.size > 1 }).isEmpty()
     }
+
+    private companion object {
+        val START: Instant = Instant.ofEpochSecond(1_000)
+    }
 }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Timeline.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/proof/Timeline.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.kernel.proof
 
+import java.time.Duration
 import java.time.Instant
 import java.time.InstantSource
 import java.time.temporal.ChronoUnit
@@ -32,6 +33,17 @@
         queue.add(Due(nowMicros + delayMicros.coerceAtLeast(0), sequence++, action))
     }
 
+    /** Runs [action] after [pause] of true time. */
+    fun after(
+        pause: Duration,
+        action: () -> Unit,
+    ): Unit = after(microsOf(pause), action)
+
+    /** Runs all actions that are due within [time]. */
+    fun run(time: Duration): Unit = runUntil(nowMicros + microsOf(time)) { false }
+
+    private fun microsOf(time: Duration): Long = time.toNanos() / NANOS_PER_MICRO
+
     /** Runs all actions that are due up to [endMicros], or until [stop] returns true. */
     fun runUntil(
         endMicros: Long,
@@ -45,6 +57,10 @@
         }
         if (!stop()) nowMicros = maxOf(nowMicros, endMicros)
     }
+
+    private companion object {
+        const val NANOS_PER_MICRO = 1_000L
+    }
 }
 
 /**
