Say once what the change had written twice

- One result type for both settings files, one reader of whole numbers, one function that rejects faulty settings.
- One decoder of CBOR records, used by the hello of peers and by stored records.
- Shards use the process and the advice caller directly; 'CellParts' forwarded four functions.
- A group of finished jobs whose key is no number is reported like any other record that cannot be read.

--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/CallerRoutes.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/CallerRoutes.kt
@@ -42,7 +42,7 @@
                 "/health" bind Method.GET to { text(Status.OK, "alive\n") },
                 "/ready" bind Method.GET to { ready() },
                 "/metrics" bind Method.GET to
-                    { Response(Status.OK).header("Content-Type", METRICS).body(metrics.render()) },
+                    { Response(Status.OK).header("Content-Type", MetricsText.CONTENT_TYPE).body(metrics.render()) },
             )
         return routes(own + more)
     }
@@ -99,8 +99,4 @@
             CallerLimits.FULL_RETRY_MILLIS,
             "this scheduler already has ${limits.maxExchanges} requests open",
         )
-
-    private companion object {
-        const val METRICS = "text/plain; version=0.0.4; charset=utf-8"
-    }
 }
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/Probes.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/Probes.kt
@@ -10,4 +10,9 @@
 public fun interface MetricsText {
     /** Returns the text. */
     public fun render(): String
+
+    public companion object {
+        /** Media type of the text. */
+        public const val CONTENT_TYPE: String = "text/plain; version=0.0.4; charset=utf-8"
+    }
 }
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/PeerHello.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/PeerHello.kt
@@ -2,10 +2,9 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
-import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
+import org.anvilbarrow.protocol.codec.decodeOrNull
 import org.anvilbarrow.protocol.model.SchedulerId
 
 /** First frame on a connection between schedulers. */
@@ -27,15 +26,6 @@
 
     fun encode(hello: PeerHello): ByteArray = cbor.encodeToByteArray(hello)
 
-    /** Returns null for a frame that is no hello; the decoder throws all three kinds for malformed frames. */
-    fun decode(frame: ByteArray): PeerHello? =
-        try {
-            cbor.decodeFromByteArray<PeerHello>(frame)
-        } catch (_: SerializationException) {
-            null
-        } catch (_: IllegalArgumentException) {
-            null
-        } catch (_: IndexOutOfBoundsException) {
-            null
-        }
+    /** Returns null for a frame that is no hello. */
+    fun decode(frame: ByteArray): PeerHello? = cbor.decodeOrNull(PeerHello.serializer(), frame)
 }
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/CellSettingsReader.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/CellSettingsReader.kt
@@ -27,17 +27,13 @@
             "The advice service.",
         ) { text -> if (text == "none" || text.isEmpty()) "none" else hostAndPort(text) }
     internal val shards =
-        SettingKey("cell", "shards", "shards", "1", "1 to $MAX_SHARDS", "Parts of the cell with an owner each.") {
-            it.toIntOrNull()?.takeIf { count -> count in 1..MAX_SHARDS }
-        }
+        number("cell", "shards", "shards", 1, 1..MAX_SHARDS, "Parts of the cell with an owner each.")
     internal val maxLease =
         millis("cell", "max-lease", "10000", "Longest lease that upstreams accept.")
     internal val retention =
         seconds("cell", "retention", "120", "How long finished jobs can be asked for.", MAX_RETENTION_SECONDS)
     internal val logLines =
-        SettingKey("logging", "lines-per-second", "lines", "20", "1 to $MAX_LINES", "Lines of each kind of decision.") {
-            it.toIntOrNull()?.takeIf { count -> count in 1..MAX_LINES }
-        }
+        number("logging", "lines-per-second", "lines", 20, 1..MAX_LINES, "Lines of each kind of decision.")
 
     /** All keys in the order in which they are documented. */
     public val all: List<SettingKey<*>> =
@@ -94,19 +90,6 @@
     }
 }
 
-/** Result of reading [CellSettings]. */
-public sealed interface CellSettingsResult {
-    /** The settings can be used. */
-    public data class Valid(
-        val settings: CellSettings,
-    ) : CellSettingsResult
-
-    /** The settings cannot be used; [faults] holds everything that is wrong. */
-    public data class Invalid(
-        val faults: List<SettingFault>,
-    ) : CellSettingsResult
-}
-
 /** Reads the settings of a process that serves durable jobs and reports every fault at once. */
 public class CellSettingsReader(
     file: String,
@@ -115,9 +98,9 @@
     private val ini = CheckedIni(file, text, CellSettingKeys.all)
 
     /** Returns the settings or everything that is wrong with them. */
-    public fun read(): CellSettingsResult {
+    public fun read(): SettingsResult<CellSettings> {
         val settings = build()
-        return if (settings == null) CellSettingsResult.Invalid(ini.faults) else CellSettingsResult.Valid(settings)
+        return if (settings == null) SettingsResult.Invalid(ini.faults) else SettingsResult.Valid(settings)
     }
 
     private fun build(): CellSettings? {
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingFault.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingFault.kt
@@ -15,14 +15,14 @@
 }
 
 /** Result of reading settings. */
-public sealed interface SettingsResult {
+public sealed interface SettingsResult<out T> {
     /** The settings can be used. */
-    public data class Valid(
-        val settings: SchedulerSettings,
-    ) : SettingsResult
+    public data class Valid<T>(
+        val settings: T,
+    ) : SettingsResult<T>
 
     /** The settings cannot be used; [faults] holds everything that is wrong. */
     public data class Invalid(
         val faults: List<SettingFault>,
-    ) : SettingsResult
+    ) : SettingsResult<Nothing>
 }
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingKey.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingKey.kt
@@ -13,3 +13,16 @@
     /** Returns null for a value that is not allowed. */
     internal val read: (String) -> T?,
 )
+
+/** A key with a whole number in [range]. */
+internal fun number(
+    section: String,
+    name: String,
+    unit: String,
+    default: Int,
+    range: IntRange,
+    meaning: String,
+): SettingKey<Int> =
+    SettingKey(section, name, unit, "$default", "${range.first} to ${range.last}", meaning) { text ->
+        text.toIntOrNull()?.takeIf { it in range }
+    }
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingKeys.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingKeys.kt
@@ -97,17 +97,6 @@
             }} | $default | ${key.allowed} | ${key.meaning} |"
         }
 
-    private fun number(
-        section: String,
-        name: String,
-        unit: String,
-        default: Int,
-        range: IntRange,
-        meaning: String,
-    ) = SettingKey(section, name, unit, "$default", "${range.first} to ${range.last}", meaning) { text ->
-        text.toIntOrNull()?.takeIf { it in range }
-    }
-
     private fun seconds(
         section: String,
         name: String,
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingsReader.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/SettingsReader.kt
@@ -12,7 +12,7 @@
     private val ini = CheckedIni(file, text, SettingKeys.all)
 
     /** Returns the settings or everything that is wrong with them. */
-    public fun read(): SettingsResult {
+    public fun read(): SettingsResult<SchedulerSettings> {
         val settings = build()
         return if (ini.faults.isEmpty() && settings != null) {
             SettingsResult.Valid(settings)
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/telemetry/SchedulerMetrics.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/telemetry/SchedulerMetrics.kt
@@ -3,14 +3,12 @@
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.anvilbarrow.adapters.http.MetricsText
 import org.anvilbarrow.adapters.peer.PeerAddress
 import org.anvilbarrow.adapters.peer.PeerTraffic
 import org.anvilbarrow.kernel.core.SchedulerState
 import org.anvilbarrow.protocol.model.SchedulerId
-import java.io.ByteArrayOutputStream
 import java.time.Duration
 import java.time.Instant
 
@@ -135,11 +133,7 @@
 
     override fun dropped(peer: SchedulerId): Unit = dropped.labelValues(regionOf(peer)).inc()
 
-    override fun render(): String {
-        val text = ByteArrayOutputStream()
-        PrometheusTextFormatWriter.create().write(text, registry.scrape())
-        return text.toString(Charsets.UTF_8)
-    }
+    override fun render(): String = registry.text()
 
     private fun count(
         direction: String,
--- a/adapters/src/test/kotlin/org/anvilbarrow/adapters/settings/CellSettingsReaderTest.kt
+++ b/adapters/src/test/kotlin/org/anvilbarrow/adapters/settings/CellSettingsReaderTest.kt
@@ -32,7 +32,7 @@
 
     @Test
     fun `defaults are used for what is not set`() {
-        val settings = (read(valid) as CellSettingsResult.Valid).settings
+        val settings = (read(valid) as SettingsResult.Valid).settings
         expectThat(settings).and {
             get { shards }.isEqualTo(1)
             get { advice }.isNull()
@@ -43,7 +43,7 @@
 
     @Test
     fun `a lease is not longer than upstreams accept`() {
-        val settings = (read("$valid\n[cell]\nmax-lease = 2000") as CellSettingsResult.Valid).settings
+        val settings = (read("$valid\n[cell]\nmax-lease = 2000") as SettingsResult.Valid).settings
         expectThat(settings.limits.lease).isEqualTo(Duration.ofMillis(2_000))
     }
 
@@ -61,11 +61,11 @@
     ) {
         val result = read(valid.replace(good, bad.replace(" | ", "\n")))
         // A key with a wrong name is also missing, which is reported with the line of its section.
-        expectThat(result).isA<CellSettingsResult.Invalid>().get { faults.map { it.line } }.contains(line)
+        expectThat(result).isA<SettingsResult.Invalid>().get { faults.map { it.line } }.contains(line)
     }
 
     @Test
     fun `all missing keys are reported at once`() {
-        expectThat(read("[vm]\nname = edge-1")).isA<CellSettingsResult.Invalid>().get { faults }.hasSize(7)
+        expectThat(read("[vm]\nname = edge-1")).isA<SettingsResult.Invalid>().get { faults }.hasSize(7)
     }
 }
--- a/adapters/src/test/kotlin/org/anvilbarrow/adapters/settings/SettingsReaderTest.kt
+++ b/adapters/src/test/kotlin/org/anvilbarrow/adapters/settings/SettingsReaderTest.kt
@@ -37,7 +37,7 @@
     /** Guards against values that are read into the wrong place or unit. */
     @Test
     fun `valid settings are understood`() {
-        expectThat(read(valid)).isA<SettingsResult.Valid>().get { settings }.and {
+        expectThat(read(valid)).isA<SettingsResult.Valid<SchedulerSettings>>().get { settings }.and {
             get { id.value }.isEqualTo("lappi-a-1")
             get { caller }.isEqualTo(ListenAddress("10.0.0.4", 7_200))
             get { callerLimits.maxBodyBytes }.isEqualTo(1_024)
@@ -140,5 +140,5 @@
         new: String,
     ): String = valid.replaceFirst(old, new).also { check(it != valid) { "'$old' is not in the settings" } }
 
-    private fun read(text: String): SettingsResult = SettingsReader("s.ini", text).read()
+    private fun read(text: String): SettingsResult<SchedulerSettings> = SettingsReader("s.ini", text).read()
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/StoredShard.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/StoredShard.kt
@@ -39,10 +39,14 @@
             .map { (id, submission) -> LoadedJob(JobId(id), submission, progress[id]) }
     }
 
-    private fun finished(): Map<Long, FinishedJobsRecord> =
-        records(JobKeys.FINISHED, FinishedJobsRecord.serializer())
-            .mapKeys { (name, _) -> name.toLongOrNull() ?: -1 }
-            .filterKeys { it >= 0 }
+    private fun finished(): Map<Long, FinishedJobsRecord> {
+        val (numbered, others) =
+            records(JobKeys.FINISHED, FinishedJobsRecord.serializer())
+                .entries
+                .partition { it.key.toLongOrNull() != null }
+        others.forEach { onUnreadable(JobKeys.FINISHED + it.key) }
+        return numbered.associate { it.key.toLong() to it.value }
+    }
 
     private fun <T> records(
         prefix: String,
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/codec/Codecs.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/codec/Codecs.kt
@@ -1,6 +1,7 @@
 package org.anvilbarrow.protocol.codec
 
 import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
@@ -15,6 +16,22 @@
         classDiscriminator = "type"
     }
 
+/** Decodes [bytes], or returns null if they do not hold such a value; the decoder throws these three kinds. */
+@OptIn(ExperimentalSerializationApi::class)
+public fun <T> Cbor.decodeOrNull(
+    serializer: KSerializer<T>,
+    bytes: ByteArray,
+): T? =
+    try {
+        decodeFromByteArray(serializer, bytes)
+    } catch (_: SerializationException) {
+        null
+    } catch (_: IllegalArgumentException) {
+        null
+    } catch (_: IndexOutOfBoundsException) {
+        null
+    }
+
 /** Result of decoding a frame from a peer. */
 public sealed interface DecodedFrame {
     /** The frame held a known message. */
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
@@ -3,8 +3,8 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
+import org.anvilbarrow.protocol.codec.decodeOrNull
 import org.anvilbarrow.protocol.model.UpstreamId
 
 /** State of a job as callers see it. */
@@ -116,18 +116,9 @@
         value: T,
     ): ByteArray = cbor.encodeToByteArray(serializer, value)
 
-    /** Decodes [bytes], or returns null if they do not hold such a record; the decoder throws these three kinds. */
+    /** Decodes [bytes], or returns null if they do not hold such a record. */
     public fun <T> decode(
         serializer: KSerializer<T>,
         bytes: ByteArray,
-    ): T? =
-        try {
-            cbor.decodeFromByteArray(serializer, bytes)
-        } catch (_: SerializationException) {
-            null
-        } catch (_: IllegalArgumentException) {
-            null
-        } catch (_: IndexOutOfBoundsException) {
-            null
-        }
+    ): T? = cbor.decodeOrNull(serializer, bytes)
 }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellParts.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellParts.kt
@@ -37,29 +37,14 @@
     val store: CellStore,
     val upstreams: UpstreamCalls,
     val catalog: PlatformCatalog,
-    private val adviceCaller: AdviceCaller,
+    val advice: AdviceCaller,
     val decisions: DecisionLog,
     val cellLimits: CellLimits,
     val claimLimits: ClaimLimits,
-    private val process: CellProcessView,
+    val process: CellProcessView,
 ) {
     /** Runs [task] on the control thread. */
     fun post(task: () -> Unit): Unit = later.run(Duration.ZERO, task)
-
-    fun config(): CellConfig? = process.config
-
-    fun helpers(): List<String> = process.helpers
-
-    fun answer(
-        call: CallKey,
-        answer: JobAnswer,
-    ): Unit = process.answer(call, answer)
-
-    fun advise(
-        shard: Int,
-        call: CellEffect.Advise,
-        done: (List<Ticket>?) -> Unit,
-    ): Unit = adviceCaller.advise(shard, call, done)
 }
 
 /** What shards see of their process. */
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
@@ -81,7 +81,7 @@
             cell != null -> events += event
             // The takeover ends within the time that callers wait.
             isOwner && early.size < MAX_EARLY -> early += event
-            else -> parts.answer(event.call, JobAnswer.NotOwner)
+            else -> parts.process.answer(event.call, JobAnswer.NotOwner)
         }
     }
 
@@ -180,8 +180,8 @@
             val owner = Cell(token, parts.cellLimits, loaded.copy(earlierOwnersEnded = earlierOwnersEnded), now())
             cell = owner
             upstreams.clear()
-            parts.config()?.let { events += CellEvent.Configured(it) }
-            events += CellEvent.HelpersChanged(parts.helpers())
+            parts.process.config?.let { events += CellEvent.Configured(it) }
+            events += CellEvent.HelpersChanged(parts.process.helpers)
             events += early
             early.clear()
             upstreamList.start()
@@ -235,7 +235,7 @@
                     back(owner) { CellEvent.StopReturned(effect.upstream, effect.task, effect.run, result) }
                 }
             is CellEffect.Advise ->
-                parts.advise(
+                parts.advice.advise(
                     shard,
                     effect,
                 ) { good -> back(owner) { CellEvent.Advised(effect.call, good) } }
@@ -243,7 +243,7 @@
                 journal?.write(effect.records) { stored ->
                     back(owner) { if (stored) CellEvent.Stored else CellEvent.StoreFenced }
                 }
-            is CellEffect.Answer -> parts.answer(effect.call, effect.answer)
+            is CellEffect.Answer -> parts.process.answer(effect.call, effect.answer)
             is CellEffect.Resign -> if (owner === cell) perform(claim.displaced(effect.reason, now()))
             is CellEffect.Decided -> parts.decisions.write(effect.kind, effect.subject, effect.detail, now())
         }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/ServeCommand.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/ServeCommand.kt
@@ -10,7 +10,6 @@
 import org.anvilbarrow.adapters.platform.PlatformClientLimits
 import org.anvilbarrow.adapters.settings.CellSettings
 import org.anvilbarrow.adapters.settings.CellSettingsReader
-import org.anvilbarrow.adapters.settings.CellSettingsResult
 import org.anvilbarrow.platform.FrontRoutes
 import org.anvilbarrow.platform.PlatformAdvice
 import org.anvilbarrow.platform.PlatformRecords
@@ -38,7 +37,7 @@
     override fun help(context: Context): String = "Serves durable jobs on the operators' platform until SIGTERM."
 
     override fun run() {
-        val settings = read()
+        val settings = readSettings(file) { name, text -> CellSettingsReader(name, text).read() }
         Thread.setDefaultUncaughtExceptionHandler(ThreadFailure())
         val process = CellProcess(settings, ports(settings), MonotonicClock())
         // The default action of SIGHUP would end the process.
@@ -54,12 +53,6 @@
         }
     }
 
-    private fun read(): CellSettings =
-        when (val result = CellSettingsReader(file.toString(), readText(file)).read()) {
-            is CellSettingsResult.Valid -> result.settings
-            is CellSettingsResult.Invalid -> rejectSettings(file, result.faults)
-        }
-
     private fun ports(settings: CellSettings): PlatformPorts {
         val http = HttpCaller("platform", LIMITS)
         return PlatformPorts(
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/SettingsFile.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/SettingsFile.kt
@@ -14,15 +14,21 @@
 internal const val BAD_SETTINGS_STATUS = 2
 
 /** Reads the settings in [file], or prints every fault and ends the program. */
-internal fun CliktCommand.readSettings(file: Path): SchedulerSettings {
-    when (val result = SettingsReader(file.toString(), readText(file)).read()) {
-        is SettingsResult.Valid -> return result.settings
+internal fun CliktCommand.readSettings(file: Path): SchedulerSettings =
+    readSettings(file) { name, text -> SettingsReader(name, text).read() }
+
+/** Passes the name and content of [file] to [read], or prints every fault and ends the program. */
+internal fun <T> CliktCommand.readSettings(
+    file: Path,
+    read: (name: String, text: String) -> SettingsResult<T>,
+): T =
+    when (val result = read(file.toString(), readText(file))) {
+        is SettingsResult.Valid -> result.settings
         is SettingsResult.Invalid -> rejectSettings(file, result.faults)
     }
-}
 
 /** Returns the content of [file], or ends the program. */
-internal fun CliktCommand.readText(file: Path): String =
+private fun CliktCommand.readText(file: Path): String =
     try {
         Files.readString(file)
     } catch (e: IOException) {
@@ -31,7 +37,7 @@
     }
 
 /** Prints [faults] of [file] and ends the program. */
-internal fun CliktCommand.rejectSettings(
+private fun CliktCommand.rejectSettings(
     file: Path,
     faults: List<SettingFault>,
 ): Nothing {
