--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/CellMesh.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/CellMesh.kt
@@ -28,6 +28,8 @@
 import org.anvilbarrow.adapters.peer.PeerFault
 import org.anvilbarrow.adapters.peer.PeerSilence
 import org.anvilbarrow.adapters.peer.describe
+import org.anvilbarrow.protocol.codec.PeerCodec
+import org.anvilbarrow.protocol.jobs.CellMember
 import org.anvilbarrow.protocol.jobs.CellMessage
 import org.anvilbarrow.protocol.jobs.RecordCodec
 import java.io.IOException
@@ -72,11 +74,11 @@
  * A process connects to the addresses that it [want]s and accepts connections of all others. Messages may be lost.
  */
 public class CellMesh(
-    /** Address at which peers reach this process, as `host:port`. */
-    private val self: String,
+    private val self: CellMember,
     private val incarnation: Long,
     private val limits: MeshLimits,
     private val listener: MeshListener,
+    private val clocks: () -> PauseDetector,
 ) : AutoCloseable {
     private class Link(
         val queue: Channel<CellMessage>,
@@ -93,7 +95,7 @@
 
     /** Listens on the own address. */
     public fun start() {
-        val (host, port) = split(self)
+        val (host, port) = split(self.address)
         val server = runBlocking { aSocket(selector).tcp().bind(host, port) { reuseAddress = true } }
         scope.launch { accept(server) }
     }
@@ -104,7 +106,7 @@
     /** Keeps connections to [addresses] and no others that this process opened. */
     @Synchronized
     public fun want(addresses: Set<String>) {
-        val wanted = addresses - self
+        val wanted = addresses - self.address
         (dialers.keys - wanted).forEach { dialers.remove(it)?.cancel() }
         (wanted - dialers.keys).forEach { address -> dialers[address] = scope.launch { dial(address) } }
     }
@@ -145,7 +147,8 @@
         if (hello.protocolVersion != CellMessage.PROTOCOL_VERSION) {
             throw PeerFault("protocolVersion is ${hello.protocolVersion}, allowed is ${CellMessage.PROTOCOL_VERSION}")
         }
-        converse(hello.address, frames)
+        listener.received(hello.member.address, hello)
+        converse(hello.member.address, frames)
     }
 
     private suspend fun dial(address: String) {
@@ -175,8 +178,12 @@
             opened(address, link)
             try {
                 val writer = launch { write(link, frames) }
+                val pauses = clocks()
                 while (true) {
                     val frame = frames.read()
+                    // Orders that waited while this process stood still have been given to another one.
+                    val gap = pauses.sinceLast()
+                    if (gap > limits.silence) throw PeerSilence("nothing was read for $gap")
                     if (frame.isNotEmpty()) listener.received(address, decode(frame))
                     if (writer.isCompleted) throw PeerSilence("the connection cannot be written")
                 }
@@ -214,10 +221,28 @@
                     link.queue.onReceive { it }
                     onTimeout(limits.keepAlive.toMillis()) { null }
                 }
-            if (message == null) frames.acknowledge() else frames.write(encode(message))
+            if (message == null) frames.acknowledge() else frames.writeAll(waiting(link, message))
         }
     }
 
+    /** Returns the frames of [first] and of what is queued behind it, which are sent together. */
+    private fun waiting(
+        link: Link,
+        first: CellMessage,
+    ): List<ByteArray> =
+        generateSequence(first) { link.queue.tryReceive().getOrNull() }
+            .take(MAX_FRAMES_AT_ONCE)
+            .map(::encode)
+            .filter(::isSendable)
+            .toList()
+
+    /** A frame over the limit would end the connection at the other side. */
+    private fun isSendable(frame: ByteArray): Boolean {
+        val fits = frame.size <= PeerCodec.MAX_FRAME_BYTES
+        if (!fits) log.error { "A message of ${frame.size} bytes is over the limit of ${PeerCodec.MAX_FRAME_BYTES}." }
+        return fits
+    }
+
     @Suppress("TooGenericExceptionCaught") // Ktor's sockets throw several unrelated types for a broken connection.
     private suspend fun guarded(
         what: String,
@@ -242,6 +267,7 @@
     private companion object {
         /** One thread waits for sockets; the other encodes and decodes. */
         const val THREADS = 2
+        const val MAX_FRAMES_AT_ONCE = 64
 
         fun split(address: String): Pair<String, Int> =
             address.substringBeforeLast(':') to address.substringAfterLast(':').toInt()
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/UpstreamCalls.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/UpstreamCalls.kt
@@ -1,25 +1,20 @@
 package org.anvilbarrow.adapters.cell
 
 import org.anvilbarrow.kernel.jobs.CellConfig
-import org.anvilbarrow.kernel.jobs.CellEffect
-import org.anvilbarrow.kernel.jobs.Observation
-import org.anvilbarrow.kernel.jobs.StartResult
-import org.anvilbarrow.kernel.jobs.StopResult
 import org.anvilbarrow.kernel.jobs.UpstreamEntry
 import org.anvilbarrow.protocol.jobs.KeyedRecord
 import org.anvilbarrow.protocol.jobs.StepRef
 import org.anvilbarrow.protocol.jobs.Ticket
+import org.anvilbarrow.protocol.jobs.UpstreamOrder
+import org.anvilbarrow.protocol.jobs.UpstreamReport
 import org.anvilbarrow.protocol.model.UpstreamId
 import java.time.Duration
 import java.util.concurrent.CompletableFuture
 
-/** Orders to upstreams, each answered once. */
-public interface UpstreamCalls {
-    public fun observe(order: CellEffect.Observe): CompletableFuture<Observation>
-
-    public fun start(order: CellEffect.Start): CompletableFuture<StartResult>
-
-    public fun stop(order: CellEffect.Stop): CompletableFuture<StopResult>
+/** Calls upstreams. */
+public fun interface UpstreamCalls {
+    /** Sends [order] once; the result never completes exceptionally. */
+    public fun send(order: UpstreamOrder): CompletableFuture<UpstreamReport>
 }
 
 /** The service that knows which upstreams may run a step. */
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/FrameChannel.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/FrameChannel.kt
@@ -41,12 +41,17 @@
             if (length == 0) EMPTY else input.readByteArray(length)
         } ?: throw PeerSilence("no whole frame arrived for $silence")
 
-    suspend fun write(frame: ByteArray) {
+    suspend fun write(frame: ByteArray): Unit = writeAll(listOf(frame))
+
+    /** Writes [frames] and sends them together. */
+    suspend fun writeAll(frames: List<ByteArray>) {
         withTimeoutOrNull(silence.toMillis()) {
-            output.writeInt(frame.size)
-            output.writeFully(frame)
+            frames.forEach { frame ->
+                output.writeInt(frame.size)
+                output.writeFully(frame)
+            }
             output.flush()
-        } ?: throw PeerSilence("a frame of ${frame.size} bytes could not be written for $silence")
+        } ?: throw PeerSilence("${frames.size} frame(s) could not be written for $silence")
     }
 
     suspend fun acknowledge(): Unit = write(EMPTY)
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/CellSettings.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/CellSettings.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.adapters.settings
 
+import kotlinx.collections.immutable.ImmutableMap
 import org.anvilbarrow.kernel.jobs.CellLimits
 import java.time.Duration
 
@@ -9,6 +10,10 @@
     val vm: String,
     val region: String,
     val failureDomain: String,
+    /** Processor time that the VM gives the process, in cores. */
+    val cores: Double,
+    /** Region of each failure domain of the cell. */
+    val regions: ImmutableMap<String, String>,
     /** Where callers connect. */
     val callers: ListenAddress,
     /** Where readiness probes connect. */
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/CellSettingsReader.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/CellSettingsReader.kt
@@ -1,5 +1,7 @@
 package org.anvilbarrow.adapters.settings
 
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.toPersistentMap
 import org.anvilbarrow.kernel.jobs.CellLimits
 import java.time.Duration
 
@@ -11,6 +13,20 @@
         SettingKey("vm", "failure-domain", "", null, NAME_RULE, "Failure domain of the VM.", ::name)
     internal val stopGrace =
         seconds("vm", "stop-grace", "6", "Time between SIGTERM and SIGKILL.", MAX_GRACE_SECONDS)
+    internal val coreShare =
+        decimal("vm", "core-share", "1", "Share of a core that the process may use.")
+    internal val coreSpeed =
+        decimal("vm", "core-speed", "1", "Speed of that core, as a multiple of the usual one.")
+    internal val regions =
+        SettingKey(
+            "cell",
+            "regions",
+            "",
+            "",
+            "failure-domain:region, separated by commas",
+            "Region of each failure domain.",
+            ::pairs,
+        )
     internal val callers = listen("callers", "Where callers connect.")
     internal val probes = listen("probes", "Where readiness probes connect.")
     internal val operators = listen("operators", "Where operators read metrics.")
@@ -42,6 +58,8 @@
             region,
             failureDomain,
             stopGrace,
+            coreShare,
+            coreSpeed,
             callers,
             probes,
             operators,
@@ -49,6 +67,7 @@
             store,
             advice,
             shards,
+            regions,
             maxLease,
             retention,
             logLines,
@@ -65,6 +84,21 @@
         meaning: String,
     ) = SettingKey("listen", name, "", null, ADDRESS_RULE, meaning, ::address)
 
+    private fun pairs(text: String): ImmutableMap<String, String>? {
+        val pairs = text.split(',').filter { it.isNotBlank() }.map { it.trim().split(':') }
+        if (pairs.any { it.size != 2 || it.any(String::isBlank) }) return null
+        return pairs.associate { (domain, region) -> domain to region }.toPersistentMap()
+    }
+
+    private fun decimal(
+        section: String,
+        name: String,
+        default: String,
+        meaning: String,
+    ) = SettingKey(section, name, "", default, "above 0", meaning) { text ->
+        text.toDoubleOrNull()?.takeIf { it > 0 && it.isFinite() }
+    }
+
     private fun hostAndPort(text: String): String? = address(text)?.let { "${it.host}:${it.port}" }
 
     private fun seconds(
@@ -120,6 +154,8 @@
             advice = known(ini.value(keys.advice)).takeIf { it != "none" },
             shards = known(ini.value(keys.shards)),
             stopGrace = known(ini.value(keys.stopGrace)),
+            cores = known(ini.value(keys.coreShare)) * known(ini.value(keys.coreSpeed)),
+            regions = known(ini.value(keys.regions)),
             limits =
                 limits.copy(
                     lease = minOf(limits.lease, known(ini.value(keys.maxLease))),
--- a/adapters/src/test/kotlin/org/anvilbarrow/adapters/cell/CellMeshTest.kt
+++ b/adapters/src/test/kotlin/org/anvilbarrow/adapters/cell/CellMeshTest.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.adapters.cell
 
+import org.anvilbarrow.protocol.jobs.CellMember
 import org.anvilbarrow.protocol.jobs.CellMessage
 import org.anvilbarrow.protocol.jobs.RecordCodec
 import org.junit.jupiter.api.AfterEach
@@ -14,6 +15,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.time.Duration
+import java.time.InstantSource
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 
@@ -45,7 +47,7 @@
         private val input = DataInputStream(socket.getInputStream())
 
         init {
-            val hello = CellMessage.Hello(CellMessage.PROTOCOL_VERSION, PEER, 1)
+            val hello = CellMessage.Hello(CellMessage.PROTOCOL_VERSION, member(PEER), 1)
             val frame = RecordCodec.encode(CellMessage.serializer(), hello)
             DataOutputStream(socket.getOutputStream()).run {
                 writeInt(frame.size)
@@ -68,8 +70,9 @@
     private val port = ServerSocket(0).use { it.localPort }
     private val links = Links()
     private val mesh =
-        CellMesh("127.0.0.1:$port", 1, MeshLimits(silence = Duration.ofSeconds(WAIT_SECONDS)), links)
-            .apply { start() }
+        CellMesh(member("127.0.0.1:$port"), 1, MeshLimits(silence = Duration.ofSeconds(WAIT_SECONDS)), links) {
+            PauseDetector(InstantSource.system(), InstantSource.system())
+        }.apply { start() }
 
     @AfterEach
     fun close(): Unit = mesh.close()
@@ -96,5 +99,7 @@
         const val WAIT_SECONDS = 5L
         const val QUIET_MILLIS = 500L
         const val READ_MILLIS = 5_000
+
+        fun member(address: String) = CellMember(address, "region", "domain", 1.0)
     }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -1,5 +1,8 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.protocol.jobs.CellMember
+import org.anvilbarrow.protocol.jobs.UpstreamOrder
+import org.anvilbarrow.protocol.jobs.UpstreamReport
 import java.time.Instant
 
 /**
@@ -12,17 +15,19 @@
  * ```
  */
 public class Cell(
+    self: String,
     token: Long,
     limits: CellLimits,
     loaded: LoadedShard,
     now: Instant,
 ) {
-    private val state = CellState(token, limits, now)
+    private val state = CellState(self, token, limits, now)
     private val leases = Leases(state)
+    private val relays = Relays(state)
     private val jobs: JobDesk = JobDesk(state) { runs.stopAll(it) }
     private val outcomes = TaskOutcomes(state, jobs)
-    private val runs: RunDesk = RunDesk(state, leases, outcomes)
-    private val watch = UpstreamWatch(state, leases, runs)
+    private val runs: RunDesk = RunDesk(state, leases, outcomes, relays)
+    private val watch = UpstreamWatch(state, leases, runs, relays)
     private val dispatcher = Dispatcher(state, runs)
     private val evacuation = Evacuation(state, runs)
 
@@ -80,17 +85,33 @@
             is CellEvent.Configured -> configure(event.config)
             is CellEvent.Listed -> watch.listed(event.entries)
             is CellEvent.Requested -> jobs.handle(event.call, event.request)
-            is CellEvent.Observed -> watch.observed(event)
-            is CellEvent.StartReturned -> runs.startReturned(event)
-            is CellEvent.StopReturned -> runs.stopReturned(event)
+            is CellEvent.Reported -> reported(event)
             is CellEvent.Advised -> dispatcher.advised(event.call, event.good)
-            is CellEvent.HelpersChanged -> dispatcher.helpersChanged(event.helpers)
+            is CellEvent.HelpersChanged -> helpersChanged(event.helpers)
             CellEvent.Stored -> state.journal.stored()
             CellEvent.StoreFenced -> state.emit(CellEffect.Resign("the store has seen a later owner"))
         }
     }
 
+    private fun reported(event: CellEvent.Reported) {
+        val order = event.order
+        val report = event.report
+        when (order) {
+            is UpstreamOrder.Observe if report is UpstreamReport.Observed ->
+                watch.observed(order, event.sentAt, report.result)
+            is UpstreamOrder.Start if report is UpstreamReport.Started -> runs.startReturned(order, report.result)
+            is UpstreamOrder.Stop if report is UpstreamReport.Stopped -> runs.stopReturned(order, report.result)
+            else -> error("$order was answered by $report")
+        }
+    }
+
+    private fun helpersChanged(helpers: List<CellMember>) {
+        dispatcher.helpersChanged(helpers.map { it.address })
+        relays.use(helpers)
+    }
+
     private fun tick() {
+        relays.tick()
         jobs.tick()
         runs.tick()
         evacuation.tick()
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellConfig.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellConfig.kt
@@ -60,6 +60,7 @@
     val address: String,
     val pool: String,
     val failureDomain: String,
+    val region: String,
     val capacity: Resources,
     val labels: ImmutableSet<String> = persistentSetOf(),
     /** Label that names its rack, or null. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellEffect.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellEffect.kt
@@ -3,44 +3,16 @@
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.KeyedRecord
 import org.anvilbarrow.protocol.jobs.StepRef
-import org.anvilbarrow.protocol.jobs.TaskRef
+import org.anvilbarrow.protocol.jobs.UpstreamOrder
 import org.anvilbarrow.protocol.model.UpstreamId
 import java.time.Duration
 
 /** What the owner of a shard wants done. */
 public sealed interface CellEffect {
-    /** Looks at an upstream, renews its leases and acknowledges its ends. */
-    public data class Observe(
-        val upstream: UpstreamId,
-        val address: String,
-        val token: Long,
-        /** Ends up to this number are stored and may be forgotten. */
-        val acknowledgeUpTo: Long,
-        /** New end of the leases on the upstream's clock in milliseconds, or null to leave them as they are. */
-        val leaseUntilMillis: Long?,
-        /** How long the upstream may wait for an end before it answers. */
-        val wait: Duration,
-    ) : CellEffect
-
-    public data class Start(
-        val upstream: UpstreamId,
-        val address: String,
-        val token: Long,
-        val task: TaskRef,
-        val run: Long,
-        val payload: String,
-        /** End of the lease on the upstream's clock in milliseconds; an order that arrives later has no effect. */
-        val leaseUntilMillis: Long,
-        val checkpoint: String?,
-        val ticket: String?,
-    ) : CellEffect
-
-    public data class Stop(
-        val upstream: UpstreamId,
-        val address: String,
-        val token: Long,
-        val task: TaskRef,
-        val run: Long,
+    /** Sends [order] to its upstream through the process [via]; answered by [CellEvent.Reported]. */
+    public data class Order(
+        val via: String,
+        val order: UpstreamOrder,
     ) : CellEffect
 
     /** Lets [helper] ask which of [upstreams] may run [step]. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -47,6 +47,18 @@
     val shortAdviceShare: Double = 0.34,
     /** Most calls for advice that wait for one helper. */
     val adviceBacklog: Int = 6,
+    /** Interval in which the processes that call upstreams are reviewed. */
+    val relayReview: Duration = Duration.ofMillis(250),
+    /** Most upstreams that one review gives to another process. */
+    val relayMoves: Int = 16,
+    /** A process calls an upstream for at least this time, longer than the 3 s in which two callers would conflict. */
+    val relayHold: Duration = Duration.ofMillis(3_500),
+    /** An upstream moves if its process has this many times the load of the best one. */
+    val relayImbalance: Double = 1.5,
+    /** How long a new owner waits for a process of an upstream's region; others connect within 200 ms. */
+    val relayWait: Duration = Duration.ofMillis(400),
+    /** Processor time in cores that the owner keeps for its decisions. */
+    val ownerCores: Double = 0.5,
     /** Finished jobs are forgotten after this time. */
     val retention: Duration = Duration.ofSeconds(120),
     /** A store that has not answered for this time gets no further submissions. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
@@ -7,6 +7,8 @@
 
 /** Everything that the parts of a [Cell] share; owned by the control thread. */
 internal class CellState(
+    /** Address of the process that owns the shard. */
+    val self: String,
     val token: Long,
     val limits: CellLimits,
     val claimedAt: Instant,
@@ -44,6 +46,12 @@
         detail: String,
     ): Unit = emit(CellEffect.Decided(kind, subject.toString(), detail))
 
+    /** Returns the fencing token for orders to [upstream]: above those of earlier owners and of earlier callers. */
+    fun tokenFor(upstream: Upstream): Long {
+        check(upstream.relayTurn < RELAY_TURNS) { "$upstream was given to $RELAY_TURNS processes under token $token" }
+        return token * RELAY_TURNS + upstream.relayTurn
+    }
+
     /** An upstream that has seen a higher token shows that another process owns the shard. */
     fun displacedAt(upstream: UpstreamId): Unit = emit(CellEffect.Resign("upstream $upstream has a later token"))
 
@@ -65,5 +73,8 @@
     private companion object {
         /** Runs under one token. With 24 bits, tokens up to 2^29 stay below 2^53, where JSON numbers stay exact. */
         const val RUN_BITS = 24
+
+        /** Processes that may call one upstream by turns under one token. */
+        const val RELAY_TURNS = 4_096L
     }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
@@ -11,6 +11,7 @@
 ) {
     private val limits get() = state.limits
     private val desk = AdviceDesk(limits)
+    private val naming = AdviceNaming()
 
     fun helpersChanged(names: List<String>): Unit = desk.use(names)
 
@@ -28,6 +29,9 @@
             val terms = state.queueOf(step.job)?.advice ?: return
             // Only an answer makes an upstream known; after a failed call it has to be asked about again.
             advice.asked += ended.named
+            advice.answers++
+            if (advice.firstAnswerAt == null) advice.firstAnswerAt = state.now
+            naming.answered(step, ended.named.size, good.size)
             advice.tickets.clear()
             good.forEach {
                 advice.good += it.upstream
@@ -66,18 +70,19 @@
         usable: List<Upstream>,
     ) {
         val listed = listed(pool)
+        val rooms = usable.map(::room)
         val rank = Ranking(state)
         val demands =
             steps.mapNotNull { step ->
                 val terms = rank.queueOf(step).advice
                 if (terms != null && step.advice.good.isEmpty()) {
-                    ask(step, terms, listed.filter { it !in step.advice.asked })
+                    ask(step, terms, naming.choose(step, rooms, listed))
                     null
                 } else {
                     demandOf(step, rank, terms != null)
                 }
             }
-        val plan = Planner(usable.map(::room)).plan(demands)
+        val plan = Planner(rooms).plan(demands)
         carryOut(plan, rank, listed)
     }
 
@@ -113,7 +118,7 @@
         terms: AdviceTerms,
         upstreams: Collection<UpstreamId>,
     ) {
-        val named = upstreams.take(MAX_NAMED)
+        val named = upstreams.take(AdviceNaming.MOST_NAMES)
         if (named.isEmpty() || step.advice.call != null || state.now.isBefore(step.advice.retryAt)) return
         val placed = desk.place(step, named, terms.cost(named.size), state.now) ?: return
         state.emit(CellEffect.Advise(placed.call, placed.helper, step.ref, named, placed.timeout))
@@ -130,7 +135,7 @@
             placements.forEach {
                 runs.start(step, it.task, state.upstreams.getValue(it.upstream), gangRun ?: state.nextRun())
             }
-            state.decided("step-placed", step, "${placements.size} task(s), waited ${waited(step)}")
+            state.decided("step-placed", step, "${placements.size} task(s), ${waits(step)}")
             if (step.waiting.isEmpty) state.ready -= step
         }
         plan.ticketsNeeded.forEach { demand ->
@@ -140,7 +145,12 @@
         keepFresh(plan.blocked, rank)
     }
 
-    private fun waited(step: StepRun): Duration = Duration.between(step.job.acceptedAt, state.now)
+    private fun waits(step: StepRun): String {
+        val acceptedAt = step.job.acceptedAt
+        val advised = step.advice.firstAnswerAt?.let { Duration.between(acceptedAt, it) }
+        val waited = Duration.between(acceptedAt, state.now)
+        return "waited $waited, advised after $advised, ${step.advice.answers} call(s)"
+    }
 
     private fun usableGood(step: StepRun): List<UpstreamId> =
         step.advice.good.filter { state.upstreams[it]?.isUsable(state.now) == true }
@@ -173,8 +183,6 @@
     }
 
     private companion object {
-        /** Most upstreams that one call may name. */
-        const val MAX_NAMED = 100
         const val FRESH_STEPS = 3
     }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -121,8 +121,13 @@
     /** Tasks that may be started now; a gang only when no member of an earlier run is left. */
     fun startable(): List<Int> {
         if (spec.gang && (active.isNotEmpty() || strays.isNotEmpty())) return emptyList()
-        val blocked = strays.mapTo(HashSet()) { it.task.index }
-        return waiting.stream().toArray().filter { it !in blocked }
+        val tasks = ArrayList<Int>(waiting.cardinality())
+        var next = waiting.nextSetBit(0)
+        while (next >= 0) {
+            if (strays.none { it.task.index == next }) tasks += next
+            next = waiting.nextSetBit(next + 1)
+        }
+        return tasks
     }
 
     fun countOn(upstream: Upstream): Int = active.values.count { it.upstream === upstream }
@@ -183,6 +188,10 @@
     /** Call without an answer, or null. */
     var call: Long? = null
 
+    /** Calls that were answered, and when the first one was. */
+    var answers = 0
+    var firstAnswerAt: Instant? = null
+
     /** Upstreams that were asked about. */
     val asked = HashSet<UpstreamId>()
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
@@ -113,6 +113,7 @@
     private val placements = ArrayList<Placement>()
     private val ticketsNeeded = ArrayList<Demand>()
     private val blocked = ArrayList<Demand>()
+    private val smallestCapacity = rooms.minOfOrNull { it.capacity.cpuMillicores } ?: 0
     private var keptGangs = 0
 
     fun plan(demands: List<Demand>): Plan {
@@ -122,49 +123,60 @@
     }
 
     private fun countDemand(demands: List<Demand>) {
+        val byId by lazy { rooms.associateBy { it.id } }
         for (demand in demands.filter { it.permitted != null && isLarge(it.size) }) {
-            rooms.forEach { if (demand.allows(it)) it.demand++ }
+            val permitted = demand.permitted.orEmpty().mapNotNull(byId::get)
+            permitted.filter(demand::allows).forEach { it.demand++ }
         }
     }
 
-    private fun isLarge(size: Resources): Boolean =
-        rooms.any { size.cpuMillicores * LARGE_PARTS >= it.capacity.cpuMillicores }
+    private fun isLarge(size: Resources): Boolean = size.cpuMillicores * LARGE_PARTS >= smallestCapacity
 
     private fun placeTasks(demand: Demand) {
+        val usable = rooms.filter { demand.allows(it) && it.fits(demand.size, 1) == 1 }
+        val candidates = usable.map { Candidate(demand, it) }
         var placed = 0
-        val taken = HashMap<UpstreamId, Int>()
-        val preference = preference(demand)
         for (task in demand.tasks) {
-            val room =
-                rooms
-                    .filter { demand.allows(it) && hasRoom(demand, it, taken[it.id] ?: 0) }
-                    .minWithOrNull(preference) ?: break
-            room.take(demand.size)
-            taken.merge(room.id, 1, Int::plus)
-            if (demand.ticketed) placements += Placement(demand, task, room.id)
+            val chosen = candidates.filter { it.hasRoom() }.minOrNull() ?: break
+            chosen.take()
+            if (demand.ticketed) placements += Placement(demand, task, chosen.room.id)
             placed++
         }
         if (placed > 0 && !demand.ticketed) ticketsNeeded += demand
         if (placed < demand.tasks.size) blocked += demand
     }
 
-    private fun hasRoom(
-        demand: Demand,
-        room: Room,
-        taken: Int,
-    ): Boolean {
-        val limit = demand.spec.maxPerUpstream
-        return room.fits(demand.size, 1) == 1 &&
-            (limit == 0 || demand.runningOn(room.id) + taken < limit)
+    /** A room for the tasks of [demand]; the smaller is better. */
+    private inner class Candidate(
+        private val demand: Demand,
+        val room: Room,
+    ) : Comparable<Candidate> {
+        private val penalty: Int = penaltyOf(demand, room)
+        private var left: Int =
+            demand.spec.maxPerUpstream.let { if (it == 0) Int.MAX_VALUE else it - demand.runningOn(room.id) }
+
+        fun hasRoom(): Boolean = left > 0 && room.fits(demand.size, 1) == 1
+
+        fun take() {
+            room.take(demand.size)
+            left--
+        }
+
+        override fun compareTo(other: Candidate): Int {
+            val byPenalty = penalty.compareTo(other.penalty)
+            return if (byPenalty != 0) byPenalty else room.freeMillicores.compareTo(other.room.freeMillicores)
+        }
     }
 
-    private fun preference(demand: Demand): Comparator<Room> {
-        val large = isLarge(demand.size)
-        return compareBy<Room>(
-            { demand.avoids(it.id) },
-            { demand.spec.dataRack != null && it.rack != demand.spec.dataRack },
-            { if (large) 0 else it.demand },
-        ).thenBy { it.freeMillicores }
+    /** A failure on the upstream weighs most, then data elsewhere, then large tasks that wait for the room. */
+    private fun penaltyOf(
+        demand: Demand,
+        room: Room,
+    ): Int {
+        val failed = if (demand.avoids(room.id)) FAILED_PENALTY else 0
+        val remote = if (demand.spec.dataRack != null && room.rack != demand.spec.dataRack) REMOTE_PENALTY else 0
+        val wanted = if (isLarge(demand.size)) 0 else minOf(room.demand, REMOTE_PENALTY - 1)
+        return failed + remote + wanted
     }
 
     private fun placeGang(demand: Demand) {
@@ -208,7 +220,8 @@
         candidates: List<Room>,
     ): List<Room>? {
         val chosen = ArrayList<Room>(demand.tasks.size)
-        for (room in candidates.sortedWith(preference(demand))) {
+        val preference = compareBy<Room>({ penaltyOf(demand, it) }, { it.freeMillicores })
+        for (room in candidates.sortedWith(preference)) {
             val fits = room.fits(demand.size, minOf(most(demand), demand.tasks.size - chosen.size))
             repeat(fits) { chosen += room }
             if (chosen.size == demand.tasks.size) return chosen
@@ -238,6 +251,8 @@
     private companion object {
         /** A task that takes a fifth of an upstream or more is large. */
         const val LARGE_PARTS = 5
+        const val REMOTE_PENALTY = 1_000_000
+        const val FAILED_PENALTY = 2 * REMOTE_PENALTY
 
         /** Gangs that room is kept for at one time; more would leave upstreams idle for long. */
         const val MAX_KEPT_GANGS = 2
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
@@ -1,15 +1,24 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.protocol.jobs.EndedTask
+import org.anvilbarrow.protocol.jobs.NotStartedReason
+import org.anvilbarrow.protocol.jobs.Observation
+import org.anvilbarrow.protocol.jobs.RunningTask
+import org.anvilbarrow.protocol.jobs.StartResult
+import org.anvilbarrow.protocol.jobs.StopResult
 import org.anvilbarrow.protocol.jobs.TaskRef
+import org.anvilbarrow.protocol.jobs.UpstreamOrder
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.UpstreamId
 import java.time.Duration
+import java.time.Instant
 
 /** Starts and stops runs, and decides from answers and lists what became of them. */
 internal class RunDesk(
     private val state: CellState,
     private val leases: Leases,
     private val tasks: TaskOutcomes,
+    private val relays: Relays,
 ) {
     private val limits get() = state.limits
 
@@ -52,14 +61,16 @@
         run: Run,
         step: StepRun,
     ) {
+        val upstream = run.upstream
+        if (!relays.isReady(upstream)) return
         run.orderOpen = true
         run.tries++
-        val upstream = run.upstream
-        state.emit(
-            CellEffect.Start(
+        relays.send(
+            upstream,
+            UpstreamOrder.Start(
                 upstream = upstream.id,
                 address = upstream.address,
-                token = state.token,
+                token = state.tokenFor(upstream),
                 task = run.task,
                 run = run.number,
                 payload = step.job.spec.payload,
@@ -70,21 +81,31 @@
         )
     }
 
-    fun startReturned(event: CellEvent.StartReturned) {
-        val run = currentRun(event.upstream, event.task, event.run) ?: return
+    fun startReturned(
+        order: UpstreamOrder.Start,
+        result: StartResult,
+    ) {
+        val run = currentRun(order.upstream, order.task, order.run) ?: return
         run.orderOpen = false
-        when (val result = event.result) {
+        when (result) {
             StartResult.Started -> {
                 run.answeredAt = state.now
                 run.mayStartLate = false
                 if (run.status == Run.Status.STARTING) run.status = Run.Status.STARTED
             }
-            StartResult.Displaced -> state.displacedAt(event.upstream)
+            StartResult.Displaced if isOfEarlierCaller(order, run.upstream) -> unanswered(run, "its caller changed")
+            StartResult.Displaced -> state.displacedAt(order.upstream)
             is StartResult.NotStarted -> notStarted(run, result.reason)
             is StartResult.Unanswered -> unanswered(run, result.detail)
         }
     }
 
+    /** An order that reached the upstream after those of the next process that calls it. */
+    private fun isOfEarlierCaller(
+        order: UpstreamOrder,
+        upstream: Upstream,
+    ): Boolean = order.token < state.tokenFor(upstream)
+
     private fun unanswered(
         run: Run,
         detail: String,
@@ -130,21 +151,33 @@
     }
 
     private fun sendStop(run: Run) {
+        if (!relays.isReady(run.upstream)) return
         run.orderOpen = true
-        state.emit(CellEffect.Stop(run.upstream.id, run.upstream.address, state.token, run.task, run.number))
+        relays.send(run.upstream, stopOrder(run.upstream, run.task, run.number))
     }
 
-    fun stopReturned(event: CellEvent.StopReturned) {
-        val run = currentRun(event.upstream, event.task, event.run) ?: return
+    private fun stopOrder(
+        upstream: Upstream,
+        task: TaskRef,
+        number: Long,
+    ) = UpstreamOrder.Stop(upstream.id, upstream.address, state.tokenFor(upstream), task, number)
+
+    fun stopReturned(
+        order: UpstreamOrder.Stop,
+        result: StopResult,
+    ) {
+        val run = currentRun(order.upstream, order.task, order.run) ?: return
         run.orderOpen = false
-        when (event.result) {
+        when (result) {
             StopResult.ACCEPTED -> {
                 run.answeredAt = state.now
                 run.mayStartLate = false
                 // The end of a stopped run has to be listed before its room is free.
                 run.upstream.nextLookAt = state.now
             }
-            StopResult.DISPLACED -> state.displacedAt(event.upstream)
+            StopResult.DISPLACED if isOfEarlierCaller(order, run.upstream) ->
+                run.nextOrderAt = state.now.plus(limits.orderRetry)
+            StopResult.DISPLACED -> state.displacedAt(order.upstream)
             StopResult.OTHER_UPSTREAM, StopResult.UNANSWERED -> run.nextOrderAt = state.now.plus(limits.orderRetry)
         }
     }
@@ -159,10 +192,10 @@
             ?.get(task)
             ?.takeIf { it.number == number }
 
-    /** Takes in what [upstream] lists; [event] was sent at a time from which on missing runs are not there. */
+    /** Takes in what [upstream] lists; runs that were answered before [sentAt] and are missing are not there. */
     fun observed(
         upstream: Upstream,
-        event: CellEvent.Observed,
+        sentAt: Instant,
         seen: Observation.Seen,
     ) {
         seen.ended
@@ -172,7 +205,7 @@
         val listed = seen.running.associateBy { it.task to it.run }
         seen.running.forEach { running(upstream, it) }
         upstream.runs.values
-            .filter { (it.task to it.number) !in listed && it.answeredAt?.isBefore(event.sentAt) == true }
+            .filter { (it.task to it.number) !in listed && it.answeredAt?.isBefore(sentAt) == true }
             .forEach { lost(it, "not listed by $upstream") }
     }
 
@@ -185,7 +218,7 @@
             run == null -> adopt(upstream, row)
             run.number == row.run -> progressed(run, row)
             // Two runs of one task on one upstream: the list is older than the current run, or an old order came late.
-            else -> state.emit(CellEffect.Stop(upstream.id, upstream.address, state.token, row.task, row.run))
+            else -> if (relays.isReady(upstream)) relays.send(upstream, stopOrder(upstream, row.task, row.run))
         }
     }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/TaskOutcomes.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/TaskOutcomes.kt
@@ -1,5 +1,7 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.protocol.jobs.EndedTask
+import org.anvilbarrow.protocol.jobs.RunEnd
 import org.anvilbarrow.protocol.jobs.TaskRef
 
 /** Decides what the end of a run means for its task and job. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
@@ -15,6 +15,14 @@
     var entry: UpstreamEntry? = null
     var isListed = false
 
+    /** Region of the upstream, or null if it is not known. */
+    var region: String? = null
+
+    /** Process that calls the upstream, since when, and how many have done so under this owner. */
+    var relay: String? = null
+    var relayedSince: Instant = Instant.MIN
+    var relayTurn = 0L
+
     /** Earliest time at which the upstream leaves, or null if it stays. */
     var leavesAt: Instant? = null
     val runs = HashMap<TaskRef, Run>()
@@ -22,6 +30,9 @@
     /** Room that is taken, by [Run] until the end of the run is certain. */
     var used: Resources = Resources.NONE
 
+    /** Runs of jobs that are not known; they take room of unknown size until they have ended. */
+    private var unknownRuns = 0
+
     /** True once the store holds that runs of the shard may exist here. */
     var isRecorded = false
 
@@ -64,22 +75,26 @@
     fun add(run: Run) {
         check(runs.put(run.task, run) == null) { "${run.task} already has a run on $id" }
         used += run.resources
+        if (run.step == null) unknownRuns++
     }
 
     fun remove(run: Run) {
         check(runs.remove(run.task, run)) { "${run.task} has no run ${run.number} on $id" }
         used -= run.resources
+        if (run.step == null) unknownRuns--
     }
 
     /** True if the upstream may get new work. */
     fun isUsable(now: Instant): Boolean {
         val listed = entry?.takeIf { isListed } ?: return false
-        return !listed.draining && seenAt != null && failedLooks == 0 && isTrusted(now) && isRoomKnown()
+        return !listed.draining &&
+            seenAt != null &&
+            failedLooks == 0 &&
+            relay != null &&
+            unknownRuns == 0 &&
+            isTrusted(now)
     }
 
-    /** A run of a job that is not known takes room of unknown size until it has ended. */
-    private fun isRoomKnown(): Boolean = runs.values.none { it.step == null }
-
     private fun isTrusted(now: Instant): Boolean =
         failuresInRow == 0 || (now.isAfter(quarantinedUntil) && (quarantinedUntil == Instant.MIN || runs.isEmpty()))
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -1,14 +1,18 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.protocol.jobs.Observation
+import org.anvilbarrow.protocol.jobs.UpstreamOrder
 import org.anvilbarrow.protocol.jobs.UsedUpstreamRecord
 import org.anvilbarrow.protocol.model.UpstreamId
 import java.time.Duration
+import java.time.Instant
 
 /** Follows the list of upstreams, looks at each of them in turn and finds out when one is gone. */
 internal class UpstreamWatch(
     private val state: CellState,
     private val leases: Leases,
     private val runs: RunDesk,
+    private val relays: Relays,
 ) {
     private val limits get() = state.limits
 
@@ -19,6 +23,7 @@
         loaded.usedUpstreams.forEach { record ->
             val upstream = Upstream(record.upstream, record.address)
             upstream.isRecorded = true
+            upstream.region = record.region
             upstream.leasesLapseBy = leases.earlierOwnersLapseBy(loaded.earlierOwnersEnded)
             state.upstreams[record.upstream] = upstream
             unseen += record.upstream
@@ -33,6 +38,7 @@
             if (upstream.entry?.draining != true && entry.draining) state.decided("upstream-draining", upstream, "")
             if (upstream.entry?.leavesIn != entry.leavesIn) upstream.leavesAt = entry.leavesIn?.let(state.now::plus)
             upstream.entry = entry
+            upstream.region = entry.region
             upstream.address = entry.address
             upstream.isListed = true
         }
@@ -46,7 +52,7 @@
     /** Runs start on an upstream only after the store holds that it is used. */
     private fun discovered(entry: UpstreamEntry): Upstream {
         val upstream = Upstream(entry.id, entry.address)
-        state.journal.upstream(entry.id, UsedUpstreamRecord(entry.id, entry.address))
+        state.journal.upstream(entry.id, UsedUpstreamRecord(entry.id, entry.address, entry.region))
         state.journal.afterStored {
             upstream.isRecorded = true
             state.dispatchNeeded = true
@@ -54,11 +60,17 @@
         return upstream
     }
 
-    fun observed(event: CellEvent.Observed) {
-        val upstream = state.upstreams[event.upstream] ?: return
+    /** A look that was sent at [sentAt] ended with [result]. */
+    fun observed(
+        order: UpstreamOrder.Observe,
+        sentAt: Instant,
+        result: Observation,
+    ) {
+        val upstream = state.upstreams[order.upstream] ?: return
         upstream.lookOpen = false
-        when (val result = event.result) {
-            is Observation.Seen -> seen(upstream, event, result)
+        when (result) {
+            is Observation.Seen -> seen(upstream, sentAt, result)
+            Observation.Displaced if order.token < state.tokenFor(upstream) -> failed(upstream, "its caller changed")
             Observation.Displaced -> state.displacedAt(upstream.id)
             Observation.OtherUpstream -> gone(upstream, "its address belongs to another upstream")
             is Observation.Failed -> failed(upstream, result.reason)
@@ -67,7 +79,7 @@
 
     private fun seen(
         upstream: Upstream,
-        event: CellEvent.Observed,
+        sentAt: Instant,
         result: Observation.Seen,
     ) {
         val failed = upstream.failedLooks
@@ -79,8 +91,8 @@
             upstream.startLife(result.life)
         }
         val first = upstream.seenAt == null
-        upstream.seenAt = event.sentAt
-        runs.observed(upstream, event, result)
+        upstream.seenAt = sentAt
+        runs.observed(upstream, sentAt, result)
         if (first) state.dispatchNeeded = true
         if (unseen.remove(upstream.id)) openBarrier()
         upstream.nextLookAt = if (first) state.now else state.now.plus(limits.observeGap)
@@ -132,6 +144,7 @@
         state.decided("upstream-gone", upstream, reason)
         loseRuns(upstream, "$upstream is gone")
         state.upstreams -= upstream.id
+        relays.forget(upstream)
         state.journal.upstream(upstream.id, null)
         if (unseen.remove(upstream.id)) openBarrier()
         state.dispatchNeeded = true
@@ -162,20 +175,22 @@
 
     private fun look(upstream: Upstream) {
         val unacknowledged = upstream.seenEnd > upstream.storedEnd
+        if (!relays.isReady(upstream)) return
         // A look would return the same ends again until they are acknowledged.
         if (unacknowledged && !isRenewalDue(upstream)) return
         upstream.lookOpen = true
         val renews =
             upstream.seenAt != null && upstream.failedLooks < limits.failuresBeforeNoRenewal && leases.mayRenew()
         val atOnce = upstream.seenAt == null || upstream.failedLooks > 0 || unacknowledged
-        state.emit(
-            CellEffect.Observe(
+        relays.send(
+            upstream,
+            UpstreamOrder.Observe(
                 upstream = upstream.id,
                 address = upstream.address,
-                token = state.token,
+                token = state.tokenFor(upstream),
                 acknowledgeUpTo = upstream.storedEnd,
                 leaseUntilMillis = if (renews) leases.grant(upstream) else null,
-                wait = if (atOnce) Duration.ZERO else limits.observeWait,
+                waitMillis = if (atOnce) 0 else limits.observeWait.toMillis(),
             ),
         )
     }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
@@ -1,6 +1,14 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.protocol.jobs.EndedTask
+import org.anvilbarrow.protocol.jobs.NotStartedReason
+import org.anvilbarrow.protocol.jobs.Observation
+import org.anvilbarrow.protocol.jobs.RunEnd
+import org.anvilbarrow.protocol.jobs.RunningTask
+import org.anvilbarrow.protocol.jobs.StartResult
+import org.anvilbarrow.protocol.jobs.StopResult
 import org.anvilbarrow.protocol.jobs.TaskRef
+import org.anvilbarrow.protocol.jobs.UpstreamOrder
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.UpstreamId
 import java.time.Duration
@@ -44,7 +52,7 @@
     fun clock(): Long = Duration.between(bornAt, world.now).toMillis()
 
     val entry: UpstreamEntry
-        get() = UpstreamEntry(id, "$id:1", "pool", "domain", capacity, leavesIn = leavesIn)
+        get() = UpstreamEntry(id, "$id:1", "pool", "domain", "region", capacity, leavesIn = leavesIn)
 
     fun restart() {
         running.clear()
@@ -61,7 +69,7 @@
         if (until != null) leaseUntil = maxOf(leaseUntil, minOf(until, clock() + world.maxLease.toMillis()))
     }
 
-    fun observe(order: CellEffect.Observe): Observation {
+    fun observe(order: UpstreamOrder.Observe): Observation {
         advance()
         if (order.token < highestToken) return Observation.Displaced
         highestToken = order.token
@@ -78,7 +86,7 @@
         return if (hangs) 0 else (part * 100 / whole).toInt().coerceIn(0, 99)
     }
 
-    fun start(order: CellEffect.Start): StartResult {
+    fun start(order: UpstreamOrder.Start): StartResult {
         advance()
         if (order.token < highestToken) return StartResult.Displaced
         highestToken = order.token
@@ -93,7 +101,7 @@
         }
     }
 
-    private fun begin(order: CellEffect.Start): StartResult {
+    private fun begin(order: UpstreamOrder.Start): StartResult {
         val spec = world.specOf(order.task)
         val size = spec.resources
         running[order.task] =
@@ -103,7 +111,7 @@
         return StartResult.Started
     }
 
-    fun stop(order: CellEffect.Stop): StopResult {
+    fun stop(order: UpstreamOrder.Stop): StopResult {
         advance()
         if (order.token < highestToken) return StopResult.DISPLACED
         highestToken = order.token
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -1,16 +1,27 @@
 package org.anvilbarrow.kernel.jobs
 
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.anvilbarrow.kernel.proof.Timeline
+import org.anvilbarrow.protocol.jobs.CellMember
+import org.anvilbarrow.protocol.jobs.EndedTask
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.JobPhase
 import org.anvilbarrow.protocol.jobs.JobRequest
 import org.anvilbarrow.protocol.jobs.JobSpec
+import org.anvilbarrow.protocol.jobs.Observation
+import org.anvilbarrow.protocol.jobs.RunEnd
+import org.anvilbarrow.protocol.jobs.StartResult
 import org.anvilbarrow.protocol.jobs.StepRef
 import org.anvilbarrow.protocol.jobs.StepSpec
+import org.anvilbarrow.protocol.jobs.StopResult
 import org.anvilbarrow.protocol.jobs.TaskRef
 import org.anvilbarrow.protocol.jobs.Ticket
+import org.anvilbarrow.protocol.jobs.UpstreamOrder
+import org.anvilbarrow.protocol.jobs.UpstreamReport
+import org.anvilbarrow.protocol.jobs.unanswered
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.UpstreamId
 import java.time.Duration
@@ -58,6 +69,15 @@
     var lateBy: Duration = Duration.ofSeconds(3)
     val startsAt = ArrayList<Instant>()
     private val specs = HashMap<JobId, JobSpec>()
+
+    /** An order and the process that it was sent through. */
+    class Call(
+        val via: String,
+        val order: UpstreamOrder,
+    )
+
+    val calls = ArrayList<Call>()
+    private var members = MEMBERS
     private var lastCall = 0L
     private var token = 0L
     private var owner: Cell? = null
@@ -89,17 +109,23 @@
     fun takeOver() {
         token += 10
         openStore = null
-        val next = Cell(token, limits, stored(), now)
+        val next = Cell(MEMBERS.first().address, token, limits, stored(), now)
         owner = next
         give(
             CellEvent.Configured(
                 CellConfig(1, persistentMapOf<String, QueueConfig>().putAll(queues.associateBy { it.name })),
             ),
         )
-        give(CellEvent.HelpersChanged(listOf("vm-1", "vm-2", "vm-3")))
+        give(CellEvent.HelpersChanged(members))
         give(CellEvent.Listed(workers.values.filter { it.listed }.map { it.entry }))
     }
 
+    /** The processes that call upstreams for the owner are [present] from now on. */
+    fun connect(present: PersistentList<CellMember>) {
+        members = present
+        give(CellEvent.HelpersChanged(present))
+    }
+
     private fun stored(): LoadedShard = StoredShard(store) { error("record $it cannot be read") }.decode()
 
     fun give(event: CellEvent) {
@@ -165,15 +191,24 @@
             is CellEffect.Resign -> broken += "resigned: ${effect.reason}"
             is CellEffect.Store -> append(effect, from)
             is CellEffect.Advise -> advise(effect, from)
-            is CellEffect.Observe -> observe(effect, from)
-            is CellEffect.Start -> start(effect, from)
-            is CellEffect.Stop ->
-                order(effect.upstream, from, { CellEvent.StopReturned(effect.upstream, effect.task, effect.run, it) }) {
-                    it?.stop(effect) ?: StopResult.UNANSWERED
-                }
+            is CellEffect.Order -> {
+                calls += Call(effect.via, effect.order)
+                carryOut(effect.order, from)
+            }
         }
     }
 
+    private fun carryOut(
+        order: UpstreamOrder,
+        from: Cell,
+    ): Unit =
+        when (order) {
+            is UpstreamOrder.Observe -> observe(order, from)
+            is UpstreamOrder.Start -> start(order, from)
+            is UpstreamOrder.Stop ->
+                send(order, from) { UpstreamReport.Stopped(it?.stop(order) ?: StopResult.UNANSWERED) }
+        }
+
     private fun append(
         effect: CellEffect.Store,
         from: Cell,
@@ -225,54 +260,47 @@
     ): Boolean = Random(step.hashCode() * 31 + upstream.hashCode()).nextDouble() < goodShare
 
     private fun observe(
-        effect: CellEffect.Observe,
+        order: UpstreamOrder.Observe,
         from: Cell,
-    ) {
-        val sentAt = now
-        order(effect.upstream, from, { CellEvent.Observed(effect.upstream, sentAt, it) }, effect.wait.dividedBy(4)) {
-            it?.observe(effect) ?: Observation.Failed("cut")
+    ): Unit =
+        send(order, from, order.wait.dividedBy(4)) {
+            UpstreamReport.Observed(it?.observe(order) ?: Observation.Failed("cut"))
         }
-    }
 
     private fun start(
-        effect: CellEffect.Start,
+        order: UpstreamOrder.Start,
         from: Cell,
     ) {
+        val sentAt = now
         if (random.nextDouble() < lateShare) {
-            after(lateBy) { workers.getValue(effect.upstream).start(effect) }
-            after(TIMEOUT) {
-                back(
-                    from,
-                ) { CellEvent.StartReturned(effect.upstream, effect.task, effect.run, StartResult.Unanswered("late")) }
-            }
+            after(lateBy) { workers.getValue(order.upstream).start(order) }
+            after(TIMEOUT) { back(from) { CellEvent.Reported(order, sentAt, order.unanswered("late")) } }
             return
         }
-        order(effect.upstream, from, { CellEvent.StartReturned(effect.upstream, effect.task, effect.run, it) }) {
-            it?.start(effect) ?: StartResult.Unanswered("cut")
-        }
+        send(order, from) { UpstreamReport.Started(it?.start(order) ?: StartResult.Unanswered("cut")) }
     }
 
-    private fun <T> order(
-        upstream: UpstreamId,
+    private fun send(
+        order: UpstreamOrder,
         from: Cell,
-        event: (T) -> CellEvent,
         wait: Duration = Duration.ZERO,
-        call: (FakeWorker?) -> T,
+        call: (FakeWorker?) -> UpstreamReport,
     ) {
-        if (upstream in cut) {
-            after(TIMEOUT) { if (from === owner) give(event(call(null))) }
+        val sentAt = now
+        if (order.upstream in cut) {
+            after(TIMEOUT) { if (from === owner) give(CellEvent.Reported(order, sentAt, call(null))) }
             return
         }
         after(latency.plus(wait)) {
-            val reached = workers[upstream].takeIf { upstream !in cut }
-            val result = call(reached)
-            back(from) { event(result) }
+            val reached = workers[order.upstream].takeIf { order.upstream !in cut }
+            val report = call(reached)
+            back(from) { CellEvent.Reported(order, sentAt, report) }
         }
     }
 
     fun started(
         worker: FakeWorker,
-        order: CellEffect.Start,
+        order: UpstreamOrder.Start,
         used: Resources,
     ) {
         startsAt += now
@@ -340,5 +368,11 @@
         private val APPEND = Duration.ofMillis(10)
         private val TIMEOUT = Duration.ofMillis(900)
         private val CANCEL = Duration.ofSeconds(3)
+        val MEMBERS =
+            persistentListOf(
+                CellMember("vm-1", "region", "domain", 1.0),
+                CellMember("vm-2", "region", "domain", 1.0),
+                CellMember("vm-3", "region", "domain", 1.0),
+            )
     }
 }
--- /dev/null
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/RelaysTest.kt
@@ -0,0 +1,137 @@
+package org.anvilbarrow.kernel.jobs
+
+import kotlinx.collections.immutable.persistentListOf
+import org.anvilbarrow.protocol.jobs.CellMember
+import org.anvilbarrow.protocol.jobs.JobPhase
+import org.anvilbarrow.protocol.jobs.Observation
+import org.anvilbarrow.protocol.jobs.StopResult
+import org.anvilbarrow.protocol.jobs.TaskRef
+import org.anvilbarrow.protocol.jobs.UpstreamOrder
+import org.anvilbarrow.protocol.jobs.UpstreamReport
+import org.anvilbarrow.protocol.model.UpstreamId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.doesNotContain
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import java.time.Duration
+
+/** Calls to upstreams that other processes make for the owner. */
+class RelaysTest {
+    private val second = Duration.ofSeconds(1)
+
+    private fun JobWorld.callers(): Map<UpstreamId, Set<String>> =
+        calls.groupBy({ it.order.upstream }, { it.via }).mapValues { it.value.toSet() }
+
+    /** Guards against an owner that makes every call itself, and against VMs that get more than they can bear. */
+    @Test
+    fun `upstreams are spread over the processes of their region by processors`() {
+        val world = JobWorld(workers = 60)
+        world.connect(
+            persistentListOf(
+                CellMember("vm-1", "region", "domain", 0.36),
+                CellMember("small", "region", "domain", 0.36),
+                CellMember("large", "region", "domain", 1.5),
+                CellMember("far", "elsewhere", "domain", 4.0),
+            ),
+        )
+        world.run(second.multipliedBy(20))
+        world.calls.clear()
+        world.run(second.multipliedBy(3))
+        val loads =
+            world
+                .callers()
+                .values
+                .flatten()
+                .groupingBy { it }
+                .eachCount()
+        expectThat(world.callers().values).all { hasSize(1) }
+        expectThat(loads.keys).isEqualTo(setOf("small", "large"))
+        expectThat(loads.getValue("large")).isGreaterThan(loads.getValue("small") * 3)
+    }
+
+    /** Guards against work that is started again or given up because the process that calls its upstream died. */
+    @Test
+    fun `a run goes on when the process that calls its upstream is lost`() {
+        val world = JobWorld(workers = 3)
+        world.run(second)
+        world.submit("a", step(3, cpuMillicores = 60_000, millis = 3_000))
+        world.run(second)
+        val lost = world.calls.last { it.order is UpstreamOrder.Start }.via
+        world.connect(JobWorld.MEMBERS.removeAll { it.address == lost })
+        world.calls.clear()
+        world.run(second.multipliedBy(5))
+        expectThat(world.calls.map { it.via }).doesNotContain(lost)
+        expectThat(world.phase("a")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.startsAt.size).isEqualTo(3)
+        expectThat(world.broken).isEmpty()
+    }
+
+    /** Guards against two processes whose orders an upstream cannot tell apart. */
+    @Test
+    fun `no two processes call an upstream with one token and none comes back with a lower one`() {
+        val world = JobWorld(workers = 6)
+        val orders = listOf(listOf(0, 1, 2), listOf(1, 2), listOf(0, 2), listOf(0, 1), listOf(0, 1, 2))
+        orders.forEach { present ->
+            world.run(second.multipliedBy(2))
+            world.connect(JobWorld.MEMBERS.removeAll { JobWorld.MEMBERS.indexOf(it) !in present })
+        }
+        world.takeOver()
+        world.run(second.multipliedBy(8))
+        val byToken = world.calls.groupBy({ it.order.upstream to it.order.token }, { it.via })
+        expectThat(byToken.values.map { it.toSet() }).all { hasSize(1) }
+        world.calls.groupBy({ it.order.upstream }, { it.order.token }).values.forEach { tokens ->
+            expectThat(tokens).isEqualTo(tokens.sorted())
+        }
+        expectThat(world.broken).isEmpty()
+    }
+
+    /** Guards against an owner that resigns because its own earlier order arrived late. */
+    @Test
+    fun `an order that is fenced by a later one of the same owner does not displace it`() {
+        val world = JobWorld(workers = 1)
+        world.run(second)
+        val early = world.calls.first().order as UpstreamOrder.Observe
+        val via = world.calls.first().via
+        world.connect(JobWorld.MEMBERS.removeAll { it.address == via })
+        world.run(second)
+        expectThat(early.token).isLessThan(
+            world.calls
+                .last()
+                .order.token,
+        )
+        world.give(CellEvent.Reported(early, world.now, UpstreamReport.Observed(Observation.Displaced)))
+        world.run(second)
+        expectThat(world.broken).isEmpty()
+        val stop = UpstreamOrder.Stop(early.upstream, early.address, early.token, TASK, 1)
+        world.give(CellEvent.Reported(stop, world.now, UpstreamReport.Stopped(StopResult.DISPLACED)))
+        expectThat(world.broken).isEmpty()
+    }
+
+    /** Guards against a new owner that calls every upstream itself while the others are still connecting. */
+    @Test
+    fun `a new owner waits a moment for processes of the upstreams' region`() {
+        val world = JobWorld(workers = 4)
+        world.connect(persistentListOf(CellMember("owner", "elsewhere", "domain", 1.0)))
+        world.takeOver()
+        world.calls.clear()
+        world.run(Duration.ofMillis(200))
+        expectThat(world.calls).isEmpty()
+        world.run(second)
+        expectThat(
+            world
+                .callers()
+                .values
+                .flatten()
+                .toSet(),
+        ).isEqualTo(setOf("owner"))
+    }
+
+    private companion object {
+        val TASK = checkNotNull(TaskRef.parse("5c0e7a21d94b36f8.0.0.0"))
+    }
+}
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/CellMessage.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/CellMessage.kt
@@ -12,8 +12,8 @@
     @SerialName("hello")
     public data class Hello(
         val protocolVersion: Int,
-        /** Address at which the sender accepts connections, as `host:port`. */
-        val address: String,
+        /** The sender. */
+        val member: CellMember,
         val incarnation: Long,
     ) : CellMessage
 
@@ -52,12 +52,40 @@
         val good: List<Ticket>?,
     ) : CellMessage
 
+    /** Orders that the receiver carries out for the owner; answered by [Reports]. */
+    @Serializable
+    @SerialName("orders")
+    public data class Orders(
+        val orders: List<NumberedOrder>,
+    ) : CellMessage
+
+    /** Answers [Orders], each once and in any order. */
+    @Serializable
+    @SerialName("reports")
+    public data class Reports(
+        val reports: List<NumberedReport>,
+    ) : CellMessage
+
     public companion object {
         /** Version of these messages; processes of another version are not talked to. */
-        public const val PROTOCOL_VERSION: Int = 1
+        public const val PROTOCOL_VERSION: Int = 2
     }
 }
 
+/** An order with a number that its sender chose. */
+@Serializable
+public data class NumberedOrder(
+    val number: Long,
+    val order: UpstreamOrder,
+)
+
+/** Answers the order with the same number. */
+@Serializable
+public data class NumberedReport(
+    val number: Long,
+    val report: UpstreamReport,
+)
+
 /** Permission to run a step on an upstream for a limited time. */
 @Serializable
 public data class Ticket(
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobIds.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobIds.kt
@@ -1,6 +1,13 @@
 package org.anvilbarrow.protocol.jobs
 
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.descriptors.PrimitiveKind
+import kotlinx.serialization.descriptors.PrimitiveSerialDescriptor
+import kotlinx.serialization.descriptors.SerialDescriptor
+import kotlinx.serialization.encoding.Decoder
+import kotlinx.serialization.encoding.Encoder
 
 /** Identifies a durable job; chosen by the caller. */
 @Serializable
@@ -23,8 +30,8 @@
     override fun toString(): String = "$job.$occurrence.$step"
 }
 
-/** Names one task of a step. */
-@Serializable
+/** Names one task of a step; encoded in its text form, which every row of a list of runs holds. */
+@Serializable(with = TaskRefSerializer::class)
 public data class TaskRef(
     val step: StepRef,
     val index: Int,
@@ -43,3 +50,17 @@
         }
     }
 }
+
+internal object TaskRefSerializer : KSerializer<TaskRef> {
+    override val descriptor: SerialDescriptor = PrimitiveSerialDescriptor("TaskRef", PrimitiveKind.STRING)
+
+    override fun serialize(
+        encoder: Encoder,
+        value: TaskRef,
+    ): Unit = encoder.encodeString(value.toString())
+
+    override fun deserialize(decoder: Decoder): TaskRef {
+        val text = decoder.decodeString()
+        return TaskRef.parse(text) ?: throw SerializationException("'$text' names no task")
+    }
+}
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
@@ -90,6 +90,7 @@
     val upstream: UpstreamId,
     /** Address of its interface, as `host:port`. */
     val address: String,
+    val region: String? = null,
 )
 
 /** The claim of one process to own a shard. */
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellParts.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellParts.kt
@@ -1,14 +1,15 @@
 package org.anvilbarrow.scheduler.cell
 
+import kotlinx.collections.immutable.ImmutableList
 import org.anvilbarrow.adapters.cell.CellStore
 import org.anvilbarrow.adapters.cell.Later
 import org.anvilbarrow.adapters.cell.PlatformCatalog
-import org.anvilbarrow.adapters.cell.UpstreamCalls
 import org.anvilbarrow.kernel.jobs.CallKey
 import org.anvilbarrow.kernel.jobs.CellConfig
 import org.anvilbarrow.kernel.jobs.CellEffect
 import org.anvilbarrow.kernel.jobs.CellLimits
 import org.anvilbarrow.kernel.ownership.ClaimLimits
+import org.anvilbarrow.protocol.jobs.CellMember
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.Ticket
 import java.time.Duration
@@ -35,7 +36,7 @@
     val clock: InstantSource,
     val later: Later,
     val store: CellStore,
-    val upstreams: UpstreamCalls,
+    val orders: OrderDispatch,
     val catalog: PlatformCatalog,
     val advice: AdviceCaller,
     val decisions: DecisionLog,
@@ -52,8 +53,8 @@
     /** Configuration in force, or null before it is known. */
     val config: CellConfig?
 
-    /** Addresses of the processes that can make calls for advice. */
-    val helpers: List<String>
+    /** The processes that can call upstreams and the advice service, this one among them. */
+    val helpers: ImmutableList<CellMember>
 
     fun answer(
         call: CallKey,
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
@@ -1,12 +1,15 @@
 package org.anvilbarrow.scheduler.cell
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toPersistentList
 import org.anvilbarrow.adapters.cell.AdviceService
 import org.anvilbarrow.adapters.cell.CellMesh
 import org.anvilbarrow.adapters.cell.CellStore
 import org.anvilbarrow.adapters.cell.JobGateway
 import org.anvilbarrow.adapters.cell.MeshLimits
 import org.anvilbarrow.adapters.cell.MeshListener
+import org.anvilbarrow.adapters.cell.PauseDetector
 import org.anvilbarrow.adapters.cell.PlatformCatalog
 import org.anvilbarrow.adapters.cell.TopicFollower
 import org.anvilbarrow.adapters.cell.UpstreamCalls
@@ -19,6 +22,7 @@
 import org.anvilbarrow.kernel.jobs.CellEffect
 import org.anvilbarrow.kernel.jobs.CellEvent
 import org.anvilbarrow.kernel.ownership.ClaimLimits
+import org.anvilbarrow.protocol.jobs.CellMember
 import org.anvilbarrow.protocol.jobs.CellMessage
 import org.anvilbarrow.protocol.jobs.ClaimRecord
 import org.anvilbarrow.protocol.jobs.JobAnswer
@@ -30,6 +34,7 @@
 import java.time.Duration
 import java.time.Instant
 import java.time.InstantSource
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 
@@ -60,10 +65,16 @@
     private val ports: PlatformPorts,
     private val clock: InstantSource,
 ) : MeshListener {
-    private val address = settings.peers.let { "${it.host}:${it.port}" }
+    private val self =
+        settings.run { CellMember("${peers.host}:${peers.port}", region, failureDomain, cores) }
+    private val address = self.address
     private val incarnation = clock.instant().toEpochMilli()
     private val control: ControlThread = ControlThread(clock, ::afterBatch)
-    private val mesh = CellMesh(address, incarnation, MeshLimits(), this)
+    private val mesh =
+        CellMesh(self, incarnation, MeshLimits(), this) { PauseDetector(clock, InstantSource.system()) }
+    private val members = ConcurrentHashMap<String, CellMember>()
+    private val dispatch = OrderDispatch(address, ports.upstreams, clock, ::post, mesh::send)
+    private val relay = OrderRelay(ports.upstreams, ::post, mesh::send)
     private val gateway = OwnerGateway(settings.shards, clock, { config }, ::forward)
     private val openAdvice = HashMap<Long, (List<Ticket>?) -> Unit>()
     private val lastAdvice = AtomicLong()
@@ -74,7 +85,8 @@
     private val view =
         object : CellProcessView {
             override val config: CellConfig? get() = this@CellProcess.config
-            override val helpers: List<String> get() = (mesh.connected + address).toList()
+            override val helpers: ImmutableList<CellMember>
+                get() = (mesh.connected.mapNotNull(members::get) + self).toPersistentList()
 
             override fun answer(
                 call: CallKey,
@@ -95,7 +107,7 @@
             clock,
             control,
             ports.store,
-            ports.upstreams,
+            dispatch,
             ports.catalog,
             ::advise,
             DecisionLog(settings.logLinesPerSecond),
@@ -159,13 +171,20 @@
     private fun tickLater() {
         control.run(TICK) {
             val now = clock.instant()
+            dispatch.tick()
             seats.forEach { it.tick(now) }
             gateway.resend { shard -> owners[shard]?.address }
             tickLater()
         }
     }
 
-    private fun afterBatch(now: Instant): Unit = seats.forEach { it.flush(now) }
+    private fun post(task: () -> Unit): Unit = control.post(task)
+
+    private fun afterBatch(now: Instant) {
+        seats.forEach { it.flush(now) }
+        dispatch.flush()
+        relay.flush()
+    }
 
     private fun notReadyBecause(): String? =
         when {
@@ -237,7 +256,7 @@
         message: CellMessage,
     ) {
         when (message) {
-            is CellMessage.Hello -> Unit
+            is CellMessage.Hello -> members[from] = message.member
             is CellMessage.Request ->
                 control.post {
                     seats.getOrNull(message.shard)?.requested(
@@ -250,6 +269,8 @@
                     .advise(message.step, message.upstreams, Duration.ofMillis(message.timeoutMillis))
                     .thenAccept { mesh.send(from, CellMessage.Advised(message.call, it)) }
             is CellMessage.Advised -> control.post { openAdvice.remove(message.call)?.invoke(message.good) }
+            is CellMessage.Orders -> relay.received(from, message)
+            is CellMessage.Reports -> control.post { dispatch.reported(from, message) }
         }
     }
 
@@ -260,6 +281,7 @@
         log.info { "event=${if (up) "peer-connected" else "peer-lost"} peer=$address" }
         control.post {
             val now = clock.instant()
+            if (!up) dispatch.lost(address)
             seats.forEach { it.helpersChanged(view.helpers) }
             owners.forEachIndexed { shard, owner ->
                 if (owner?.address == address) seats[shard].linkChanged(!up, now)
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
@@ -1,6 +1,7 @@
 package org.anvilbarrow.scheduler.cell
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toPersistentList
 import org.anvilbarrow.adapters.cell.AppendCondition
 import org.anvilbarrow.adapters.cell.AppendOutcome
@@ -15,6 +16,7 @@
 import org.anvilbarrow.kernel.ownership.ClaimAppend
 import org.anvilbarrow.kernel.ownership.ClaimEffect
 import org.anvilbarrow.kernel.ownership.ShardClaim
+import org.anvilbarrow.protocol.jobs.CellMember
 import org.anvilbarrow.protocol.jobs.ClaimRecord
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.KeyedRecord
@@ -39,6 +41,8 @@
     private val early = ArrayList<CellEvent.Requested>()
     private var cell: Cell? = null
     private var journal: JournalWriter? = null
+    private var flushPlanned = false
+    private var nextFlushAt: Instant = Instant.MIN
     private val upstreams = HashMap<String, UpstreamEntry>()
     private val upstreamList =
         TopicFollower(
@@ -72,7 +76,7 @@
         if (cell != null) events += CellEvent.Configured(config)
     }
 
-    fun helpersChanged(helpers: List<String>) {
+    fun helpersChanged(helpers: ImmutableList<CellMember>) {
         if (cell != null) events += CellEvent.HelpersChanged(helpers)
     }
 
@@ -89,13 +93,23 @@
         if (cell != null) events += event
     }
 
-    /** Handles what was collected since the last call. */
+    /**
+     * Handles what was collected since the last call, unless that was a moment ago.
+     *
+     * Each batch considers all waiting steps, so an owner that cannot keep up makes fewer and larger batches.
+     */
     fun flush(now: Instant) {
         val owner = cell ?: return
-        if (events.isEmpty()) return
+        if (events.isEmpty() || flushPlanned) return
+        if (now.isBefore(nextFlushAt)) {
+            flushPlanned = true
+            return parts.later.run(Duration.between(now, nextFlushAt)) { flushPlanned = false }
+        }
         val batch = events.toList()
         events.clear()
         handle(owner, batch, now).forEach { carryOut(it, owner) }
+        val ended = now()
+        nextFlushAt = ended.plus(maxOf(MIN_BATCH_GAP, Duration.between(now, ended)))
     }
 
     /** An owner whose invariants are broken gives the shard up; the next one starts from what is stored. */
@@ -177,7 +191,14 @@
         val fenced = { if (claim.token == token) perform(claim.displaced("the store has seen a later owner", now())) }
         ShardLoader(shard, token, parts, { claim.token == token }, fenced).load { loaded, writer ->
             journal = writer
-            val owner = Cell(token, parts.cellLimits, loaded.copy(earlierOwnersEnded = earlierOwnersEnded), now())
+            val owner =
+                Cell(
+                    parts.address,
+                    token,
+                    parts.cellLimits,
+                    loaded.copy(earlierOwnersEnded = earlierOwnersEnded),
+                    now(),
+                )
             cell = owner
             upstreams.clear()
             parts.process.config?.let { events += CellEvent.Configured(it) }
@@ -220,20 +241,12 @@
         owner: Cell,
     ) {
         when (effect) {
-            is CellEffect.Observe -> {
+            is CellEffect.Order -> {
                 val sentAt = now()
-                parts.upstreams.observe(effect).thenAccept { result ->
-                    back(owner) { CellEvent.Observed(effect.upstream, sentAt, result) }
+                parts.orders.send(effect.via, effect.order) { report ->
+                    back(owner) { CellEvent.Reported(effect.order, sentAt, report) }
                 }
             }
-            is CellEffect.Start ->
-                parts.upstreams.start(effect).thenAccept { result ->
-                    back(owner) { CellEvent.StartReturned(effect.upstream, effect.task, effect.run, result) }
-                }
-            is CellEffect.Stop ->
-                parts.upstreams.stop(effect).thenAccept { result ->
-                    back(owner) { CellEvent.StopReturned(effect.upstream, effect.task, effect.run, result) }
-                }
             is CellEffect.Advise ->
                 parts.advice.advise(
                     shard,
@@ -264,6 +277,9 @@
         /** Pause between two reads of the upstream list; a leaving upstream may get no work after 3 s. */
         val UPSTREAM_POLL: Duration = Duration.ofMillis(400)
 
+        /** Shortest pause between two batches of events; a start in the same region takes 3 ms. */
+        val MIN_BATCH_GAP: Duration = Duration.ofMillis(4)
+
         /** Requests that wait for the end of a takeover. */
         const val MAX_EARLY = 2_000
     }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/ServeCommand.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/ServeCommand.kt
@@ -59,7 +59,7 @@
             PlatformStore(settings.store, http),
             PlatformUpstreams(http),
             PlatformAdvice(settings.advice ?: settings.store, http),
-            PlatformRecords(),
+            PlatformRecords(settings.regions),
             ::FrontRoutes,
             ::ReadinessRoute,
         )
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/JournalFencingTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/JournalFencingTest.kt
@@ -1,18 +1,19 @@
 package org.anvilbarrow.scheduler.cell
 
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.persistentListOf
 import org.anvilbarrow.adapters.cell.AppendCondition
 import org.anvilbarrow.adapters.cell.AppendOutcome
 import org.anvilbarrow.adapters.cell.CellStore
 import org.anvilbarrow.adapters.cell.NewestOutcome
 import org.anvilbarrow.adapters.cell.PlatformCatalog
 import org.anvilbarrow.adapters.cell.ReadOutcome
-import org.anvilbarrow.adapters.cell.UpstreamCalls
 import org.anvilbarrow.kernel.jobs.CallKey
 import org.anvilbarrow.kernel.jobs.CellConfig
-import org.anvilbarrow.kernel.jobs.CellEffect
 import org.anvilbarrow.kernel.jobs.CellLimits
 import org.anvilbarrow.kernel.jobs.UpstreamEntry
 import org.anvilbarrow.kernel.ownership.ClaimLimits
+import org.anvilbarrow.protocol.jobs.CellMember
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.KeyedRecord
 import org.junit.jupiter.api.Test
@@ -72,14 +73,6 @@
             CompletableFuture.completedFuture(NewestOutcome.Complete(records.toList(), records.size.toLong()))
     }
 
-    private object NoUpstreams : UpstreamCalls {
-        override fun observe(order: CellEffect.Observe) = error("no orders")
-
-        override fun start(order: CellEffect.Start) = error("no orders")
-
-        override fun stop(order: CellEffect.Stop) = error("no orders")
-    }
-
     private object NoCatalog : PlatformCatalog {
         override val operatorTopic = "operators"
         override val upstreamTopic = "upstreams"
@@ -91,7 +84,7 @@
 
     private object NoView : CellProcessView {
         override val config: CellConfig? = null
-        override val helpers: List<String> = emptyList()
+        override val helpers: ImmutableList<CellMember> = persistentListOf()
 
         override fun answer(
             call: CallKey,
@@ -110,7 +103,7 @@
             clock,
             { _, task -> task() },
             store,
-            NoUpstreams,
+            OrderDispatch(address, { error("no orders") }, clock, { it() }, { _, _ -> false }),
             NoCatalog,
             { _, _, _ -> },
             DecisionLog(1),
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OrderDispatchTest.kt
@@ -0,0 +1,129 @@
+package org.anvilbarrow.scheduler.cell
+
+import org.anvilbarrow.protocol.jobs.CellMessage
+import org.anvilbarrow.protocol.jobs.NumberedOrder
+import org.anvilbarrow.protocol.jobs.NumberedReport
+import org.anvilbarrow.protocol.jobs.Observation
+import org.anvilbarrow.protocol.jobs.StartResult
+import org.anvilbarrow.protocol.jobs.TaskRef
+import org.anvilbarrow.protocol.jobs.UpstreamOrder
+import org.anvilbarrow.protocol.jobs.UpstreamReport
+import org.anvilbarrow.protocol.model.UpstreamId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+import java.time.Duration
+import java.time.Instant
+import java.util.concurrent.CompletableFuture
+
+/** Each order of an owner is completed once, whatever becomes of the process that carries it out. */
+internal class OrderDispatchTest {
+    private var now = Instant.EPOCH
+    private var connected = true
+    private val sent = ArrayList<Pair<String, CellMessage.Orders>>()
+    private val reports = ArrayList<UpstreamReport>()
+    private val dispatch =
+        OrderDispatch("self", { CompletableFuture.completedFuture(STARTED) }, { now }, { it() }) { to, orders ->
+            sent += to to orders
+            connected
+        }
+
+    private fun start(index: Int) =
+        UpstreamOrder.Start(
+            UpstreamId("w1"),
+            "w1:1",
+            7,
+            checkNotNull(TaskRef.parse("5c0e7a21d94b36f8.0.0.$index")),
+            1,
+            "payload",
+            1_000,
+            null,
+            null,
+        )
+
+    private fun sendVia(
+        via: String,
+        order: UpstreamOrder = start(0),
+    ) {
+        dispatch.send(via, order) { reports += it }
+        dispatch.flush()
+    }
+
+    @Test
+    fun `the owner makes its own calls and hands the others over together`() {
+        sendVia("self")
+        expectThat(reports).containsExactly(STARTED)
+        repeat(3) { index -> dispatch.send("peer", start(index)) { reports += it } }
+        expectThat(sent).isEmpty()
+        dispatch.flush()
+        expectThat(sent.single().second.orders).hasSize(3)
+    }
+
+    /** Guards against a frame that the other side rejects by closing the connection. */
+    @Test
+    fun `orders with long payloads are split into messages`() {
+        repeat(40) { index -> dispatch.send("peer", start(index)) { reports += it } }
+        dispatch.flush()
+        expectThat(sent.sumOf { it.second.orders.size }).isEqualTo(40)
+        expectThat(sent.all { it.second.orders.size <= 14 }).isTrue()
+    }
+
+    /** Guards against an order that is never completed, so that its run is neither started again nor given up. */
+    @Test
+    fun `an order whose process is lost or silent has no answer`() {
+        connected = false
+        sendVia("peer")
+        connected = true
+        sendVia("peer")
+        dispatch.lost("peer")
+        sendVia("silent")
+        now = now.plus(Duration.ofSeconds(10))
+        dispatch.tick()
+        expectThat(reports).hasSize(3)
+        reports.forEach { report ->
+            expectThat(report).isA<UpstreamReport.Started>().get { result }.isA<StartResult.Unanswered>()
+        }
+    }
+
+    /** Guards against a late report, or one of another process, that completes an order a second time. */
+    @Test
+    fun `a report counts once and only from the process that got the order`() {
+        sendVia("peer")
+        val number =
+            sent
+                .single()
+                .second.orders
+                .single()
+                .number
+        val message = CellMessage.Reports(listOf(NumberedReport(number, STARTED)))
+        dispatch.reported("other", message)
+        expectThat(reports).isEmpty()
+        dispatch.reported("peer", message)
+        dispatch.reported("peer", message)
+        dispatch.lost("peer")
+        expectThat(reports).containsExactly(STARTED)
+    }
+
+    @Test
+    fun `a process reports what it was asked in messages that fit a frame`() {
+        val messages = ArrayList<CellMessage.Reports>()
+        val seen = UpstreamReport.Observed(Observation.Seen(1, 1, emptyList(), emptyList()))
+        val relay =
+            OrderRelay({ CompletableFuture.completedFuture(seen) }, { it() }) { _, reports -> messages.add(reports) }
+        val orders = (1L..500L).map { NumberedOrder(it, start(0)) }
+        relay.received("owner", CellMessage.Orders(orders))
+        relay.flush()
+        expectThat(messages.flatMap { it.reports }.map { it.number }.toSet()).hasSize(500)
+        expectThat(messages.any { it.reports.size > 200 }).isFalse()
+    }
+
+    private companion object {
+        val STARTED = UpstreamReport.Started(StartResult.Started)
+    }
+}
