Refuse a request only when no copy of it is under way

Cause: a request that an owner does not answer within 0.8 s is sent again. On a slow store the owner took the first copy back and refused it, and accepted the second one, which then ran.

Change: a refusal completes a call only if every copy that was sent has been refused or reached no owner.

Test: OwnerGatewayTest, two cases; the first one fails without the change.

--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
@@ -36,8 +36,9 @@
 
         private var closed = false
 
-        /** Times that the request was sent, less those that were answered with [JobAnswer.NotOwner]. */
+        /** Times that the request was sent, less those that were answered without an effect. */
         private var effectiveSends = 0
+        private var refusal: JobAnswer.Refused? = null
 
         @Volatile
         var sentTo: String? = null
@@ -60,11 +61,26 @@
             effectiveSends++
         }
 
-        /** The process that got the request is not the owner. */
+        /**
+         * Takes an answer to one copy of the request.
+         *
+         * A refusal is true only if no other copy has had an effect or may still have one.
+         */
         @Synchronized
-        fun sentInVain() {
+        fun answered(received: JobAnswer) {
+            when (received) {
+                JobAnswer.NotOwner -> sentTo = null
+                is JobAnswer.Refused -> refusal = received
+                else -> {
+                    answer.complete(received)
+                    return
+                }
+            }
             effectiveSends--
-            sentTo = null
+            val refused = refusal ?: return
+            if (effectiveSends > 0) return
+            closed = true
+            answer.complete(refused)
         }
 
         /** Keeps the request from being sent again if no owner ever got it, and returns whether that is so. */
@@ -190,8 +206,7 @@
         number: Long,
         answer: JobAnswer,
     ) {
-        val call = open[number] ?: return
-        if (answer == JobAnswer.NotOwner) call.sentInVain() else call.answer.complete(answer)
+        open[number]?.answered(answer)
     }
 
     /** Sends calls again whose owner changed, left or did not answer. */
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
@@ -8,6 +8,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 import java.time.Duration
 import java.time.InstantSource
@@ -97,6 +98,32 @@
         expectThat(answer.join()).isA<JobAnswer.Refused>()
     }
 
+    /** Guards against a refusal that says "not run" while a second copy of the request is accepted and runs. */
+    @Test
+    fun `a refusal of one copy does not stand while another copy is under way`() {
+        val answer = ask(status)
+        awaitSent(1)
+        owner = "b"
+        gateway.resend { "b" }
+        awaitSent(2)
+        gateway.answered(sent.first(), JobAnswer.Refused("the store does not answer", 1_000))
+        expectThat(answer.isDone).isFalse()
+        gateway.answered(sent.first(), JobAnswer.Accepted)
+        expectThat(answer.join()).isEqualTo(JobAnswer.Accepted)
+    }
+
+    @Test
+    fun `a request is refused once every copy of it was`() {
+        val refused = JobAnswer.Refused("the store does not answer", 1_000)
+        val answer = ask(status)
+        awaitSent(1)
+        gateway.resend { "b" }
+        awaitSent(2)
+        gateway.answered(sent.first(), refused)
+        gateway.answered(sent.first(), JobAnswer.NotOwner)
+        expectThat(answer.join()).isEqualTo(refused)
+    }
+
     @Test
     fun `pending jobs of all shards are added`() {
         val answer = ask(JobRequest.Pending("q"))
