Let patient steps leave room to steps of higher priority that wait

Cause: batches that can wait 15 s took every piece of room that became free, so that gangs and large urgent tasks waited for a whole upstream. Room was kept for two gangs only.

Change: a step that can wait 6 s longer and still meet its objective does not use upstreams that a step of higher priority waits for. The time left counts the whole chain of steps behind it.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -59,6 +59,8 @@
     val relayWait: Duration = Duration.ofMillis(400),
     /** Processor time in cores that the owner keeps for its decisions. */
     val ownerCores: Double = 0.5,
+    /** A step that can wait longer than this leaves room to steps of higher priority that wait for it. */
+    val patience: Duration = Duration.ofSeconds(6),
     /** Finished jobs are forgotten after this time. */
     val retention: Duration = Duration.ofSeconds(120),
     /** A store that has not answered for this time gets no further submissions. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
@@ -103,6 +103,7 @@
             rank = rank.of(step),
             tasks = tasks,
             permitted = if (advised) permitted(step) else null,
+            patient = rank.laxityOf(step) > limits.patience,
             ticketed = !advised || step.advice.isFresh(state.now),
             runningOn = { id -> state.upstreams[id]?.let(step::countOn) ?: 0 },
             avoids = { id -> step.failedOn.any { it.id == id } },
@@ -194,6 +195,12 @@
     fun queueOf(step: StepRun): QueueConfig =
         checkNotNull(state.queueOf(step.job)) { "queue ${step.job.queue} is not configured" }
 
+    /** How long [step] can wait and still meet the objective of its job. */
+    fun laxityOf(step: StepRun): Duration {
+        val deadline = step.job.dueAt(step.ref.occurrence).plus(objective(step, queueOf(step)))
+        return Duration.between(state.now, deadline).minusMillis(step.job.remainingChain(step.ref.step))
+    }
+
     fun of(step: StepRun): Rank {
         val queue = queueOf(step)
         val start = step.job.dueAt(step.ref.occurrence)
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -48,6 +48,12 @@
     /** Longest chain of estimated run times. */
     val chain: Duration = Duration.ofMillis(longestChain(spec))
 
+    /** Longest chain of estimated run times from each step on, in milliseconds. */
+    private val chainsFrom: LongArray = chainsFrom(spec)
+
+    /** Returns the longest chain of estimated run times from [step] on, in milliseconds. */
+    fun remainingChain(step: Int): Long = chainsFrom[step]
+
     val begun: Boolean get() = steps.values.any { it.begun }
 
     /** Due time of [occurrence], or the time of acceptance for a job without schedule. */
@@ -76,6 +82,15 @@
     }
 
     private companion object {
+        fun chainsFrom(spec: JobSpec): LongArray {
+            val chains = LongArray(spec.steps.size)
+            for (index in spec.steps.indices.reversed()) {
+                chains[index] += spec.steps[index].estimatedMillis
+                spec.steps[index].dependsOn.forEach { chains[it] = maxOf(chains[it], chains[index]) }
+            }
+            return chains
+        }
+
         fun longestChain(spec: JobSpec): Long {
             val ends = LongArray(spec.steps.size)
             spec.steps.forEachIndexed { index, step ->
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
@@ -23,8 +23,15 @@
     /** Priority of the gang that this room is kept for, or null; only more urgent steps may use it. */
     var keptForPriority: Int? = null
 
+    /** Priority of the most urgent step that waits for this room, or null; patient steps leave it alone. */
+    var wantedForPriority: Int? = null
+
     val freeMillicores: Int get() = freeCpu
 
+    fun wantedFor(priority: Int) {
+        wantedForPriority = minOf(wantedForPriority ?: priority, priority)
+    }
+
     /** Returns how many tasks of [size] fit, at most [most]. */
     fun fits(
         size: Resources,
@@ -64,6 +71,8 @@
     val permitted: Set<UpstreamId>?,
     /** False if tickets have to be asked for before tasks can start. */
     val ticketed: Boolean,
+    /** True if the step meets its objective also when it starts much later. */
+    val patient: Boolean = false,
     /** Tasks of the step that run on an upstream already. */
     val runningOn: (UpstreamId) -> Int,
     /** True for upstreams on which the step failed. */
@@ -77,7 +86,11 @@
     fun allows(room: Room): Boolean =
         (permitted == null || room.id in permitted) &&
             (spec.requiredLabel == null || spec.requiredLabel in room.labels) &&
-            (room.keptForPriority == null || rank.priority < room.keptForPriority!!)
+            isBefore(room.keptForPriority) &&
+            (!patient || isBefore(room.wantedForPriority))
+
+    /** True if nobody with [priority] has a better claim to a room; a step that waits may use what it waits for. */
+    private fun isBefore(priority: Int?): Boolean = priority == null || rank.priority < priority
 }
 
 /** Resources that a task of the step takes from the room of its upstream. */
@@ -143,7 +156,14 @@
             placed++
         }
         if (placed > 0 && !demand.ticketed) ticketsNeeded += demand
-        if (placed < demand.tasks.size) blocked += demand
+        if (placed < demand.tasks.size) block(demand)
+    }
+
+    /** Patient steps of lower priority do not take the room that the step waits for. */
+    private fun block(demand: Demand) {
+        blocked += demand
+        if (demand.rank.lateness > 0 || demand.patient) return
+        rooms.filter(demand::allows).forEach { it.wantedFor(demand.rank.priority) }
     }
 
     /** A room for the tasks of [demand]; the smaller is better. */
@@ -184,7 +204,7 @@
         val chosen = chooseForGang(demand, usable)
         if (chosen == null) {
             keepRoom(demand, usable)
-            blocked += demand
+            block(demand)
             return
         }
         chosen.forEach { it.take(demand.size) }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -6,6 +6,7 @@
 import org.anvilbarrow.kernel.proof.Timeline
 import org.anvilbarrow.protocol.jobs.CellMember
 import org.anvilbarrow.protocol.jobs.EndedTask
+import org.anvilbarrow.protocol.jobs.FinishedJob
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.JobPhase
@@ -120,6 +121,9 @@
         give(CellEvent.Listed(workers.values.filter { it.listed }.map { it.entry }))
     }
 
+    /** Returns the finished jobs as they are stored. */
+    fun finished(): List<FinishedJob> = stored().finished.values.flatMap { it.jobs }
+
     /** The processes that call upstreams for the owner are [present] from now on. */
     fun connect(present: PersistentList<CellMember>) {
         members = present
