Wait for a confirmed claim after a pause, and bound what one message can break

Found while looking for what operators of similar systems met: - An owner that stood still for some seconds went on with its orders before it had asked whether it still owned the shard. Fences rejected them where the upstream checks fences. Now nothing is done after a pause of 1 s until the store has confirmed the claim. Estimates are bounded where times are calculated with them. Submissions whose due times cannot be calculated, or with more than 10,000 tasks together, are rejected with the field. Bounds are checked where the caller is connected.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
@@ -205,7 +205,7 @@
         val queue = queueOf(step)
         val start = step.job.dueAt(step.ref.occurrence)
         val objective = objective(step, queue)
-        val remaining = Duration.ofMillis(step.spec.estimatedMillis)
+        val remaining = step.spec.estimate
         val lateness =
             when {
                 state.now.plus(remaining).isBefore(start.plus(objective)) -> 0
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Evacuation.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Evacuation.kt
@@ -37,7 +37,7 @@
         if (run.percent > 0) {
             Duration.between(run.startedAt, run.progressedAt).multipliedBy(WHOLE).dividedBy(run.percent.toLong())
         } else {
-            Duration.ofMillis(step.spec.estimatedMillis)
+            step.spec.estimate
         }
 
     private fun move(
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -85,7 +85,7 @@
         fun chainsFrom(spec: JobSpec): LongArray {
             val chains = LongArray(spec.steps.size)
             for (index in spec.steps.indices.reversed()) {
-                chains[index] += spec.steps[index].estimatedMillis
+                chains[index] += spec.steps[index].estimate.toMillis()
                 spec.steps[index].dependsOn.forEach { chains[it] = maxOf(chains[it], chains[index]) }
             }
             return chains
@@ -94,7 +94,7 @@
         fun longestChain(spec: JobSpec): Long {
             val ends = LongArray(spec.steps.size)
             spec.steps.forEachIndexed { index, step ->
-                ends[index] = step.estimatedMillis + (step.dependsOn.maxOfOrNull { ends[it] } ?: 0)
+                ends[index] = step.estimate.toMillis() + (step.dependsOn.maxOfOrNull { ends[it] } ?: 0)
             }
             return ends.maxOrNull() ?: 0
         }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
@@ -250,7 +250,8 @@
                 status = Run.Status.STARTED
                 answeredAt = state.now
                 // When the run began is not known; its progress tells roughly.
-                startedAt = state.now.minusMillis((step?.spec?.estimatedMillis ?: 0) * row.percent / COMPLETE_PERCENT)
+                startedAt =
+                    state.now.minusMillis((step?.spec?.estimate?.toMillis() ?: 0) * row.percent / COMPLETE_PERCENT)
                 progressedAt = state.now
                 percent = row.percent
             }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/SubmissionCheck.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/SubmissionCheck.kt
@@ -1,19 +1,24 @@
 package org.anvilbarrow.kernel.jobs
 
 import org.anvilbarrow.protocol.jobs.JobRequest
+import org.anvilbarrow.protocol.jobs.JobSchedule
 import org.anvilbarrow.protocol.jobs.StepSpec
 import org.anvilbarrow.protocol.model.Resources
 
-/** Finds submissions that can never run. */
-internal object SubmissionCheck {
+/** Finds submissions that can never run, or whose numbers cannot be calculated with. */
+public object SubmissionCheck {
     /** Longest payload, in characters; callers may send 4,000 bytes. */
     private const val MAX_PAYLOAD_CHARS = 4_000
     private const val MAX_STEPS = 64
     private const val MAX_TASKS = 10_000
+    private const val MAX_NAME_CHARS = 256
     private const val MAX_OCCURRENCES = 100_000
 
+    /** Year 9999, in milliseconds since 1970; the due time of every occurrence can be calculated. */
+    private const val MAX_TIME_MILLIS = 253_402_300_799_000L
+
     /** Returns what is wrong with [request], naming the field, or null. */
-    fun problemOf(request: JobRequest.Submit): String? {
+    public fun problemOf(request: JobRequest.Submit): String? {
         val steps = request.spec.steps
         if (request.spec.payload.length > MAX_PAYLOAD_CHARS) {
             return "payload has ${request.spec.payload.length} characters, the limit is $MAX_PAYLOAD_CHARS"
@@ -23,27 +28,47 @@
         ) {
             return "steps has ${steps.size} entries, allowed: 1 to $MAX_STEPS"
         }
-        val schedule = request.spec.schedule
-        if (schedule != null && (schedule.occurrences !in 1..MAX_OCCURRENCES || schedule.intervalMillis < 0)) {
-            return "occurrences is ${schedule.occurrences}, allowed: 1 to $MAX_OCCURRENCES, interval from 0"
-        }
+        val tasks = steps.sumOf { it.tasks.toLong() }
+        if (tasks > MAX_TASKS) return "steps have $tasks tasks together, the limit is $MAX_TASKS"
+        request.spec.schedule
+            ?.let(::scheduleProblem)
+            ?.let { return it }
         return steps.withIndex().firstNotNullOfOrNull { (index, step) ->
             stepProblem(index, step)?.let { "steps[$index].$it" }
         }
     }
 
+    private fun scheduleProblem(schedule: JobSchedule): String? {
+        val occurrences = schedule.occurrences
+        val longestInterval = MAX_TIME_MILLIS / occurrences.coerceAtLeast(1)
+        return when {
+            occurrences !in 1..MAX_OCCURRENCES -> "occurrences is $occurrences, allowed: 1 to $MAX_OCCURRENCES"
+            schedule.startAtEpochMillis !in 0..MAX_TIME_MILLIS ->
+                "startAt is ${schedule.startAtEpochMillis} ms, allowed: 0 to $MAX_TIME_MILLIS"
+            schedule.intervalMillis !in 0..longestInterval ->
+                "interval is ${schedule.intervalMillis} ms, allowed: 0 to $longestInterval"
+            else -> null
+        }
+    }
+
     private fun stepProblem(
         index: Int,
         step: StepSpec,
     ): String? =
         when {
             step.tasks !in 1..MAX_TASKS -> "tasks is ${step.tasks}, allowed: 1 to $MAX_TASKS"
+            step.dependsOn.size > MAX_STEPS ->
+                "dependsOn has ${step.dependsOn.size} entries, the limit is $MAX_STEPS"
             step.dependsOn.any { it !in 0 until index } -> "dependsOn is ${step.dependsOn}, allowed: earlier steps only"
             step.estimatedMillis < 0 -> "estimatedMillis is ${step.estimatedMillis}, allowed: 0 and more"
+            names(step).any { it.length > MAX_NAME_CHARS } ->
+                "label, rack or image is longer than $MAX_NAME_CHARS characters"
             hasNegative(step.resources) -> "resources is ${step.resources}, allowed: 0 and more"
             else -> null
         }
 
+    private fun names(step: StepSpec) = listOfNotNull(step.requiredLabel, step.dataRack, step.image)
+
     private fun hasNegative(resources: Resources) =
         resources.cpuMillicores < 0 || resources.memoryMebibytes < 0 || resources.accelerators < 0
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
@@ -29,6 +29,8 @@
     val handOverAfter: Duration = Duration.ofSeconds(4),
     /** How long a process does not claim after it handed the shard to a larger one. */
     val handOverPause: Duration = Duration.ofSeconds(10),
+    /** A longer pause of the process lets others claim; below [silence], less the 250 ms that a renewal may be late. */
+    val longestPause: Duration = Duration.ofSeconds(1),
     /** Pause after a read or append that failed. */
     val retry: Duration = Duration.ofMillis(200),
 )
@@ -236,6 +238,9 @@
             }
         }
 
+    /** The process stood still: asks the store at once whether it still owns the shard. */
+    public fun resumed(now: Instant): List<ClaimEffect> = turn(now) { if (token != null) nextAppendAt = now }
+
     /** Time passed. */
     public fun tick(now: Instant): List<ClaimEffect> = turn(now) {}
 
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/codec/Codecs.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/codec/Codecs.kt
@@ -16,7 +16,7 @@
         classDiscriminator = "type"
     }
 
-/** Decodes [bytes], or returns null if they do not hold such a value; the decoder throws these three kinds. */
+/** Decodes [bytes], or returns null if they do not hold such a value; the decoder throws these kinds. */
 @OptIn(ExperimentalSerializationApi::class)
 public fun <T> Cbor.decodeOrNull(
     serializer: KSerializer<T>,
@@ -28,8 +28,12 @@
         null
     } catch (_: IllegalArgumentException) {
         null
+    } catch (_: IllegalStateException) {
+        null
     } catch (_: IndexOutOfBoundsException) {
         null
+    } catch (_: NegativeArraySizeException) {
+        null
     }
 
 /** Result of decoding a frame from a peer. */
@@ -59,7 +63,7 @@
     /**
      * Decodes one frame; a frame that is not a known message gives [DecodedFrame.Malformed].
      *
-     * The CBOR decoder throws [IndexOutOfBoundsException] for some truncated frames.
+     * The CBOR decoder throws [IllegalStateException] or [IndexOutOfBoundsException] for truncated frames.
      */
     @Suppress("TooGenericExceptionCaught")
     public fun decode(frame: ByteArray): DecodedFrame =
@@ -69,6 +73,8 @@
             DecodedFrame.Malformed(e.message ?: "not a CBOR message")
         } catch (e: IllegalArgumentException) {
             DecodedFrame.Malformed(e.message ?: "not a CBOR message")
+        } catch (e: IllegalStateException) {
+            DecodedFrame.Malformed(e.message ?: "truncated CBOR message")
         } catch (e: IndexOutOfBoundsException) {
             DecodedFrame.Malformed(e.message ?: "truncated CBOR message")
         }
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobSpec.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobSpec.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.anvilbarrow.protocol.model.Resources
+import java.time.Duration
 
 /** What a caller asks for: steps of tasks, and the payload that every task is started with. */
 @Serializable
@@ -56,4 +57,12 @@
     val targetMillis: Long = 0,
     /** Tasks of a long-running step that may be down at one time through this system's actions. */
     val mayBeDown: Int = 0,
-)
+) {
+    /** [estimatedMillis] as a duration that times can be calculated with, whatever the caller sent. */
+    val estimate: Duration get() = Duration.ofMillis(estimatedMillis.coerceIn(0, LONGEST_ESTIMATE.toMillis()))
+
+    private companion object {
+        /** A job with a longer estimate is late in any case. */
+        val LONGEST_ESTIMATE: Duration = Duration.ofDays(30)
+    }
+}
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellParts.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellParts.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.ImmutableList
 import org.anvilbarrow.adapters.cell.CellStore
 import org.anvilbarrow.adapters.cell.Later
+import org.anvilbarrow.adapters.cell.PauseDetector
 import org.anvilbarrow.adapters.cell.PlatformCatalog
 import org.anvilbarrow.kernel.jobs.CallKey
 import org.anvilbarrow.kernel.jobs.CellConfig
@@ -34,6 +35,8 @@
     /** Number of shards of the cell. */
     val shards: Int,
     val clock: InstantSource,
+    /** Makes a detector of pauses for one loop. */
+    val pauses: () -> PauseDetector,
     val later: Later,
     val store: CellStore,
     val orders: OrderDispatch,
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
@@ -70,8 +70,8 @@
     private val address = self.address
     private val incarnation = clock.instant().toEpochMilli()
     private val control: ControlThread = ControlThread(clock, ::afterBatch)
-    private val mesh =
-        CellMesh(self, incarnation, MeshLimits(), this) { PauseDetector(clock, InstantSource.system()) }
+    private val pauses = { PauseDetector(clock, InstantSource.system()) }
+    private val mesh = CellMesh(self, incarnation, MeshLimits(), this, pauses)
     private val members = ConcurrentHashMap<String, CellMember>()
     private val dispatch = OrderDispatch(address, ports.upstreams, clock, ::post, mesh::send)
     private val relay = OrderRelay(ports.upstreams, ::post, mesh::send)
@@ -105,6 +105,7 @@
             incarnation,
             settings.shards,
             clock,
+            pauses,
             control,
             ports.store,
             dispatch,
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
@@ -2,6 +2,7 @@
 
 import org.anvilbarrow.adapters.cell.JobGateway
 import org.anvilbarrow.kernel.jobs.CellConfig
+import org.anvilbarrow.kernel.jobs.SubmissionCheck
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.JobRequest
@@ -101,6 +102,9 @@
         request: JobRequest,
         wait: Duration,
     ): JobAnswer {
+        // A malformed submission may be too long for a message to the owner.
+        val problem = (request as? JobRequest.Submit)?.let(SubmissionCheck::problemOf)
+        if (problem != null) return JobAnswer.Invalid(problem)
         val job = jobOf(request) ?: return pending(request, wait)
         return await(listOf(begin(shardOf(job), request)), wait).first()
     }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
@@ -42,6 +42,10 @@
     private var cell: Cell? = null
     private var journal: JournalWriter? = null
     private var smallerSince: Instant? = null
+    private val pauses = parts.pauses()
+
+    /** Set from the end of a pause until the store confirms the claim again. */
+    private var unconfirmedSince: Instant? = null
     private var flushPlanned = false
     private var nextFlushAt: Instant = Instant.MIN
     private val upstreams = HashMap<String, UpstreamEntry>()
@@ -62,6 +66,7 @@
     val owned: Cell? get() = cell
 
     fun tick(now: Instant) {
+        reviewPause(now)
         perform(claim.tick(now))
         reviewSize(now)
         if (cell != null) events += CellEvent.Tick
@@ -78,6 +83,20 @@
         if (cell != null) events += CellEvent.Configured(config)
     }
 
+    /** After a pause in which another process may have claimed the shard, nothing is done before a new confirmation. */
+    private fun reviewPause(now: Instant) {
+        val gap = pauses.sinceLast()
+        if (gap < parts.claimLimits.longestPause || claim.token == null) return
+        log.info { "event=owner-resumed shard=$shard token=${claim.token} detail=\"stood still for $gap\"" }
+        unconfirmedSince = now
+        perform(claim.resumed(now))
+    }
+
+    private fun confirmed(at: Instant) {
+        cell?.confirmed(at)
+        if (unconfirmedSince?.isAfter(at) == false) unconfirmedSince = null
+    }
+
     /** Hands the shard over while the largest process of the cell has many more cores than this one. */
     private fun reviewSize(now: Instant) {
         val largest = parts.process.helpers.maxOfOrNull { it.cores } ?: return
@@ -116,7 +135,7 @@
      */
     fun flush(now: Instant) {
         val owner = cell ?: return
-        if (events.isEmpty() || flushPlanned) return
+        if (events.isEmpty() || flushPlanned || unconfirmedSince != null) return
         if (now.isBefore(nextFlushAt)) {
             flushPlanned = true
             return parts.later.run(Duration.between(now, nextFlushAt)) { flushPlanned = false }
@@ -155,7 +174,7 @@
                 }
             is ClaimEffect.Append -> append(effect)
             is ClaimEffect.Acquired -> acquired(effect.token, effect.earlierOwnersEnded)
-            is ClaimEffect.Confirmed -> cell?.confirmed(effect.at)
+            is ClaimEffect.Confirmed -> confirmed(effect.at)
             is ClaimEffect.Lost -> lost(effect.reason)
             is ClaimEffect.OwnerChanged -> {
                 log.info {
@@ -229,6 +248,7 @@
     private fun lost(reason: String) {
         log.info { "event=shard-lost shard=$shard detail=\"$reason\"" }
         cell = null
+        unconfirmedSince = null
         journal?.close()
         journal = null
         events.clear()
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/JournalFencingTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/JournalFencingTest.kt
@@ -6,6 +6,7 @@
 import org.anvilbarrow.adapters.cell.AppendOutcome
 import org.anvilbarrow.adapters.cell.CellStore
 import org.anvilbarrow.adapters.cell.NewestOutcome
+import org.anvilbarrow.adapters.cell.PauseDetector
 import org.anvilbarrow.adapters.cell.PlatformCatalog
 import org.anvilbarrow.adapters.cell.ReadOutcome
 import org.anvilbarrow.kernel.jobs.CallKey
@@ -101,6 +102,7 @@
             1,
             1,
             clock,
+            { PauseDetector(clock, clock) },
             { _, task -> task() },
             store,
             OrderDispatch(address, { error("no orders") }, clock, { it() }, { _, _ -> false }),
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
@@ -3,10 +3,14 @@
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.JobRequest
+import org.anvilbarrow.protocol.jobs.JobSpec
+import org.anvilbarrow.protocol.jobs.StepSpec
+import org.anvilbarrow.protocol.model.Resources
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isA
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
@@ -124,6 +128,15 @@
         expectThat(answer.join()).isEqualTo(refused)
     }
 
+    /** Guards against a message over the frame limit, which would end the connection to the owner for all callers. */
+    @Test
+    fun `a submission that is out of bounds is rejected before it is sent`() {
+        val step = StepSpec(1, Resources(1_000, 1_000), dependsOn = List(100_000) { 0 })
+        val submit = JobRequest.Submit(JobId("5c0e7a21d94b36f8"), "q", JobSpec("payload", listOf(step)))
+        expectThat(gateway.ask(submit, wait)).isA<JobAnswer.Invalid>()
+        expectThat(sent).isEmpty()
+    }
+
     @Test
     fun `pending jobs of all shards are added`() {
         val answer = ask(JobRequest.Pending("q"))
