--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellConfig.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellConfig.kt
@@ -34,22 +34,7 @@
     val targetDuration: Duration,
     /** Terms of the advice service, or null if tasks of the queue may run anywhere in the pool. */
     val advice: AdviceTerms? = null,
-) {
-    /** Returns the latency objective of a job whose longest chain of run times is [chain]. */
-    public fun objectiveOf(chain: Duration): Duration =
-        chain
-            .plus(advice?.cost(ADVISED_UPSTREAMS) ?: Duration.ZERO)
-            .scaled(stretch)
-            .plus(targetDuration)
-
-    private companion object {
-        /** Upstreams named in the call for advice that a latency objective contains. */
-        const val ADVISED_UPSTREAMS = 30
-    }
-}
-
-/** Returns this duration times [factor], in whole milliseconds. */
-internal fun Duration.scaled(factor: Double): Duration = Duration.ofMillis((toMillis() * factor).toLong())
+)
 
 /** Cost and validity of a call for advice. */
 public data class AdviceTerms(
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -65,6 +65,8 @@
     val retention: Duration = Duration.ofSeconds(120),
     /** A store that has not answered for this time gets no further submissions. */
     val storeStall: Duration = Duration.ofMillis(700),
+    /** When a caller that was refused for a stalled store may come back. */
+    val stallRetryAfter: Duration = Duration.ofSeconds(1),
     /**
      * When a caller whose submission may be stored is told so.
      *
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
@@ -197,14 +197,14 @@
 
     /** How long [step] can wait and still meet the objective of its job. */
     fun laxityOf(step: StepRun): Duration {
-        val deadline = step.job.dueAt(step.ref.occurrence).plus(queueOf(step).objectiveOf(step.job.chain))
+        val deadline = step.job.dueAt(step.ref.occurrence).plus(objective(step, queueOf(step)))
         return Duration.between(state.now, deadline).minusMillis(step.job.remainingChain(step.ref.step))
     }
 
     fun of(step: StepRun): Rank {
         val queue = queueOf(step)
         val start = step.job.dueAt(step.ref.occurrence)
-        val objective = queue.objectiveOf(step.job.chain)
+        val objective = objective(step, queue)
         val remaining = step.spec.estimate
         val lateness =
             when {
@@ -214,4 +214,22 @@
             }
         return Rank(lateness, queue.priority, start.plus(objective))
     }
+
+    private fun objective(
+        step: StepRun,
+        queue: QueueConfig,
+    ): Duration {
+        val advice = queue.advice?.cost(ADVISED_UPSTREAMS) ?: Duration.ZERO
+        return step.job.chain
+            .plus(advice)
+            .scaled(queue.stretch)
+            .plus(queue.targetDuration)
+    }
+
+    private fun Duration.scaled(factor: Double): Duration = Duration.ofMillis((toMillis() * factor).toLong())
+
+    private companion object {
+        /** Upstreams named in the call for advice that a latency objective contains. */
+        const val ADVISED_UPSTREAMS = 30
+    }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobDesk.kt
@@ -4,7 +4,6 @@
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.JobPhase
 import org.anvilbarrow.protocol.jobs.JobRequest
-import org.anvilbarrow.protocol.jobs.JobSpec
 import org.anvilbarrow.protocol.jobs.SubmissionRecord
 import java.time.Duration
 import java.time.Instant
@@ -60,12 +59,10 @@
             return state.answer(call, JobAnswer.Invalid(invalid))
         }
         if (state.journal.stalledFor(state.now) > state.limits.storeStall) {
-            val reason = "the store has not answered for ${state.journal.stalledFor(state.now)}"
-            return refuse(call, request.job, reason, returnTime(request.queue, request.spec))
+            return refuse(call, request.job, "the store has not answered for ${state.journal.stalledFor(state.now)}")
         }
         if (state.jobs.size >= state.limits.maxOpenJobs) {
-            val reason = "${state.jobs.size} jobs are kept, which is the limit"
-            return refuse(call, request.job, reason, ReturnTime.LONGEST)
+            return refuse(call, request.job, "${state.jobs.size} jobs are kept, which is the limit")
         }
         val job = JobRun(request.job, SubmissionRecord(request.queue, request.spec, state.now.toEpochMilli()))
         state.jobs[job.id] = job
@@ -78,19 +75,9 @@
         call: CallKey,
         job: JobId,
         reason: String,
-        retryAfter: Duration,
     ) {
-        state.decided("submission-refused", job, "$reason, back after $retryAfter")
-        state.answer(call, JobAnswer.Refused(reason, retryAfter.toMillis()))
-    }
-
-    private fun returnTime(
-        queue: String,
-        spec: JobSpec,
-    ): Duration {
-        val config = state.config?.queues?.get(queue) ?: return ReturnTime.SHORTEST
-        val chain = JobRun.chainOf(spec)
-        return ReturnTime.after(state.journal.stalledFor(state.now), config.objectiveOf(chain).minus(chain))
+        state.decided("submission-refused", job, reason)
+        state.answer(call, JobAnswer.Refused(reason, state.limits.stallRetryAfter.toMillis()))
     }
 
     private fun awaitStored(
@@ -215,8 +202,7 @@
             caller.job.steps.values
                 .forEach { state.ready -= it }
             state.jobs -= caller.job.id
-            val returnTime = returnTime(caller.job.queue, caller.job.spec)
-            refuse(caller.call, caller.job.id, "the store has not answered for ${state.limits.storeStall}", returnTime)
+            refuse(caller.call, caller.job.id, "the store has not answered for ${state.limits.storeStall}")
         }
         (overdue - unsent.toSet()).forEach {
             state.answer(it.call, JobAnswer.Unknown("the store has not answered for ${state.limits.storeAnswer}"))
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -46,7 +46,7 @@
     var opened = 0
 
     /** Longest chain of estimated run times. */
-    val chain: Duration = chainOf(spec)
+    val chain: Duration = Duration.ofMillis(longestChain(spec))
 
     /** Longest chain of estimated run times from each step on, in milliseconds. */
     private val chainsFrom: LongArray = chainsFrom(spec)
@@ -81,11 +81,8 @@
         record.steps.forEach { steps[StepRef(id, it.occurrence, it.step)]?.restore(it) }
     }
 
-    companion object {
-        /** Returns the longest chain of estimated run times of a job. */
-        fun chainOf(spec: JobSpec): Duration = Duration.ofMillis(chainsFrom(spec).maxOrNull() ?: 0)
-
-        private fun chainsFrom(spec: JobSpec): LongArray {
+    private companion object {
+        fun chainsFrom(spec: JobSpec): LongArray {
             val chains = LongArray(spec.steps.size)
             for (index in spec.steps.indices.reversed()) {
                 chains[index] += spec.steps[index].estimate.toMillis()
@@ -93,6 +90,14 @@
             }
             return chains
         }
+
+        fun longestChain(spec: JobSpec): Long {
+            val ends = LongArray(spec.steps.size)
+            spec.steps.forEachIndexed { index, step ->
+                ends[index] = step.estimate.toMillis() + (step.dependsOn.maxOfOrNull { ends[it] } ?: 0)
+            }
+            return ends.maxOrNull() ?: 0
+        }
     }
 }
 
