--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -30,6 +30,7 @@
     private val watch = UpstreamWatch(state, leases, runs, relays)
     private val dispatcher = Dispatcher(state, runs)
     private val evacuation = Evacuation(state, runs)
+    private val review = RunReview(state, runs)
 
     init {
         watch.load(loaded)
@@ -113,7 +114,7 @@
     private fun tick() {
         relays.tick()
         jobs.tick()
-        runs.tick()
+        review.tick()
         evacuation.tick()
         dispatcher.tick()
         watch.tick()
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
@@ -10,7 +10,6 @@
 import org.anvilbarrow.protocol.jobs.UpstreamOrder
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.UpstreamId
-import java.time.Duration
 import java.time.Instant
 
 /** Starts and stops runs, and decides from answers and lists what became of them. */
@@ -57,7 +56,8 @@
             step.checkpoints[index]
         }
 
-    private fun sendStart(
+    /** Sends the order to start [run]; a copy of an earlier order has no further effect. */
+    fun sendStart(
         run: Run,
         step: StepRun,
     ) {
@@ -150,7 +150,8 @@
             .forEach(::stop)
     }
 
-    private fun sendStop(run: Run) {
+    /** Sends the order to stop [run]. */
+    fun sendStop(run: Run) {
         if (!relays.isReady(run.upstream)) return
         run.orderOpen = true
         relays.send(run.upstream, stopOrder(run.upstream, run.task, run.number))
@@ -311,56 +312,6 @@
         state.dispatchNeeded = true
     }
 
-    /** Sends unanswered orders again and stops runs that are stuck or gangs that do not assemble. */
-    fun tick() {
-        state.upstreams.values
-            .flatMap { it.runs.values.toList() }
-            .forEach { run ->
-                when {
-                    run.orderOpen -> Unit
-                    run.status == Run.Status.STOPPING && run.answeredAt == null && isOrderDue(run) -> sendStop(run)
-                    run.status == Run.Status.STARTING && isOrderDue(run) -> run.step?.let { sendStart(run, it) }
-                    run.status == Run.Status.STARTED && isStuck(run) -> stuck(run)
-                }
-            }
-        state.jobs.values
-            .filter { !it.phase.isFinal && !it.barred }
-            .flatMap { it.steps.values }
-            .filter { it.spec.gang && it.active.isNotEmpty() && !it.isDone }
-            .forEach(::checkGang)
-    }
-
-    private fun isOrderDue(run: Run): Boolean = !state.now.isBefore(run.nextOrderAt)
-
-    private fun isStuck(run: Run): Boolean {
-        val step = run.step ?: return false
-        return !step.spec.longRunning &&
-            run.percent < COMPLETE_PERCENT &&
-            run.upstream.failedLooks == 0 &&
-            run.upstream.seenAt?.isAfter(run.progressedAt.plus(limits.stuckAfter)) == true
-    }
-
-    private fun stuck(run: Run) {
-        state.decided("run-stuck", run.task, "run ${run.number} on ${run.upstream} stays at ${run.percent}%")
-        run.upstream.failed(state.now, limits)
-        run.step?.failedOn?.add(run.upstream)
-        stop(run)
-    }
-
-    /** A gang of which a member is missing never works; the others are stopped before they wait in vain. */
-    private fun checkGang(step: StepRun) {
-        if (step.active.size + step.done.cardinality() < step.spec.tasks) {
-            stopAll(step)
-            return
-        }
-        val unconfirmed = step.active.values.filter { it.status == Run.Status.STARTING }
-        val oldest = unconfirmed.minOfOrNull { it.startedAt } ?: return
-        if (Duration.between(oldest, state.now) > limits.gangAssembly) {
-            state.decided("gang-incomplete", step, "${unconfirmed.size} member(s) did not answer")
-            stopAll(step)
-        }
-    }
-
     private companion object {
         const val COMPLETE_PERCENT = 100
     }
--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunReview.kt
@@ -0,0 +1,65 @@
+package org.anvilbarrow.kernel.jobs
+
+import java.time.Duration
+
+/** Finds runs whose order has no answer, that do not progress, or whose gang does not assemble. */
+internal class RunReview(
+    private val state: CellState,
+    private val runs: RunDesk,
+) {
+    private val limits get() = state.limits
+
+    /** Sends unanswered orders again and stops runs that are stuck or gangs that do not assemble. */
+    fun tick() {
+        state.upstreams.values
+            .flatMap { it.runs.values.toList() }
+            .forEach { run ->
+                when {
+                    run.orderOpen -> Unit
+                    run.status == Run.Status.STOPPING && run.answeredAt == null && isOrderDue(run) -> runs.sendStop(run)
+                    run.status == Run.Status.STARTING && isOrderDue(run) -> run.step?.let { runs.sendStart(run, it) }
+                    run.status == Run.Status.STARTED && isStuck(run) -> stuck(run)
+                }
+            }
+        state.jobs.values
+            .filter { !it.phase.isFinal && !it.barred }
+            .flatMap { it.steps.values }
+            .filter { it.spec.gang && it.active.isNotEmpty() && !it.isDone }
+            .forEach(::checkGang)
+    }
+
+    private fun isOrderDue(run: Run): Boolean = !state.now.isBefore(run.nextOrderAt)
+
+    private fun isStuck(run: Run): Boolean {
+        val step = run.step ?: return false
+        return !step.spec.longRunning &&
+            run.percent < COMPLETE_PERCENT &&
+            run.upstream.failedLooks == 0 &&
+            run.upstream.seenAt?.isAfter(run.progressedAt.plus(limits.stuckAfter)) == true
+    }
+
+    private fun stuck(run: Run) {
+        state.decided("run-stuck", run.task, "run ${run.number} on ${run.upstream} stays at ${run.percent}%")
+        run.upstream.failed(state.now, limits)
+        run.step?.failedOn?.add(run.upstream)
+        runs.stop(run)
+    }
+
+    /** A gang of which a member is missing never works; the others are stopped before they wait in vain. */
+    private fun checkGang(step: StepRun) {
+        if (step.active.size + step.done.cardinality() < step.spec.tasks) {
+            runs.stopAll(step)
+            return
+        }
+        val unconfirmed = step.active.values.filter { it.status == Run.Status.STARTING }
+        val oldest = unconfirmed.minOfOrNull { it.startedAt } ?: return
+        if (Duration.between(oldest, state.now) > limits.gangAssembly) {
+            state.decided("gang-incomplete", step, "${unconfirmed.size} member(s) did not answer")
+            runs.stopAll(step)
+        }
+    }
+
+    private companion object {
+        const val COMPLETE_PERCENT = 100
+    }
+}
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -13,7 +13,6 @@
 import org.anvilbarrow.protocol.jobs.JobRequest
 import org.anvilbarrow.protocol.jobs.JobSpec
 import org.anvilbarrow.protocol.jobs.Observation
-import org.anvilbarrow.protocol.jobs.RunEnd
 import org.anvilbarrow.protocol.jobs.StartResult
 import org.anvilbarrow.protocol.jobs.StepRef
 import org.anvilbarrow.protocol.jobs.StepSpec
@@ -28,7 +27,6 @@
 import java.time.Duration
 import java.time.Instant
 import java.time.temporal.ChronoUnit
-import java.util.BitSet
 import kotlin.random.Random
 
 /**
@@ -69,7 +67,7 @@
     var lateShare = 0.0
     var lateBy: Duration = Duration.ofSeconds(3)
     val startsAt = ArrayList<Instant>()
-    private val specs = HashMap<JobId, JobSpec>()
+    val specs = HashMap<JobId, JobSpec>()
 
     /** An order and the process that it was sent through. */
     class Call(
@@ -83,8 +81,7 @@
     private var token = 0L
     private var owner: Cell? = null
     private var openStore: (() -> Unit)? = null
-    private val noted = HashSet<TaskRef>()
-    private val cancelledAt = HashMap<JobId, Instant>()
+    private val rules = JobRules(this)
 
     val cell: Cell get() = checkNotNull(owner) { "nobody owns the shard" }
 
@@ -130,7 +127,7 @@
         give(CellEvent.HelpersChanged(present))
     }
 
-    private fun stored(): LoadedShard = StoredShard(store) { error("record $it cannot be read") }.decode()
+    fun stored(): LoadedShard = StoredShard(store) { error("record $it cannot be read") }.decode()
 
     fun give(event: CellEvent) {
         val handling = cell
@@ -157,7 +154,7 @@
     fun ask(request: JobRequest): Long {
         lastCall++
         if (request is JobRequest.Submit) specs[request.job] = request.spec
-        if (request is JobRequest.Cancel) cancelledAt.putIfAbsent(request.job, now)
+        if (request is JobRequest.Cancel) rules.cancelled(request.job)
         give(CellEvent.Requested(CallKey("test", lastCall), request))
         return lastCall
     }
@@ -302,68 +299,20 @@
         }
     }
 
+    /** [worker] begins what [order] says; [used] is what it runs then. */
     fun started(
         worker: FakeWorker,
         order: UpstreamOrder.Start,
         used: Resources,
     ) {
         startsAt += now
-        val task = order.task
-        if (!used.fitsIn(worker.capacity)) broken += "LIMIT: ${worker.id} runs $used at $now"
-        if (task in noted) broken += "TWICE: $task starts after its end was acknowledged"
-        val elsewhere = workers.values.filter { it !== worker && task in it.running }
-        if (elsewhere.isNotEmpty()) broken += "TWICE: $task runs on ${elsewhere.map { it.id }} and ${worker.id}"
-        val spec = specs.getValue(task.step.job)
-        val missing = spec.steps[task.step.step].dependsOn.filter { !isStepDone(task, it) }
-        if (missing.isNotEmpty()) broken += "ORDER: $task starts before steps $missing"
-        val cancelled = cancelledAt[task.step.job]
-        if (cancelled != null &&
-            Duration.between(cancelled, now) > CANCEL
-        ) {
-            broken += "UNASKED: $task starts after its cancellation"
-        }
-        if (advice != null && !isGood(task.step, worker.id)) broken += "ROUTE: $task starts on ${worker.id}"
-        if (order.payload != spec.payload) broken += "UNASKED: $task starts with another payload"
-    }
-
-    private val endedDone = HashSet<TaskRef>()
-
-    private fun isStepDone(
-        task: TaskRef,
-        step: Int,
-    ): Boolean {
-        val spec = specs.getValue(task.step.job).steps[step]
-        val ref = task.step.copy(step = step)
-        workers.values.forEach { worker -> doneEnds(worker) }
-        val done = (0 until spec.tasks).count { TaskRef(ref, it) in endedDone }
-        return if (spec.gang) done > 0 else done == spec.tasks
-    }
-
-    private fun doneEnds(worker: FakeWorker) {
-        worker.listedEnds().filter { it.end == RunEnd.DONE }.forEach { endedDone += it.task }
+        rules.started(worker, order, used)
     }
 
     fun acknowledged(
         worker: FakeWorker,
         ends: List<EndedTask>,
-    ) {
-        ends.filter { it.end == RunEnd.DONE }.forEach {
-            noted += it.task
-            endedDone += it.task
-            if (!isStored(it.task)) {
-                broken +=
-                    "LOST: ${it.task} ended on ${worker.id}, acknowledged before it was stored"
-            }
-        }
-    }
-
-    private fun isStored(end: TaskRef): Boolean {
-        val shard = stored()
-        val job = shard.jobs.find { it.id == end.step.job }
-        val step = job?.progress?.steps?.find { it.occurrence == end.step.occurrence && it.step == end.step.step }
-        val isDone = step != null && BitSet.valueOf(step.done).get(end.index)
-        return isDone || shard.finished.values.any { group -> group.jobs.any { it.job == end.step.job } }
-    }
+    ): Unit = rules.acknowledged(worker, ends)
 
     companion object {
         private val START = Instant.ofEpochSecond(1_000_000)
@@ -371,7 +320,6 @@
         private val LIST_POLL = Duration.ofMillis(400)
         private val APPEND = Duration.ofMillis(10)
         private val TIMEOUT = Duration.ofMillis(900)
-        private val CANCEL = Duration.ofSeconds(3)
         val MEMBERS =
             persistentListOf(
                 CellMember("vm-1", "region", "domain", 1.0),
