Forget a hand-over that another claim preceded

Cause: an owner that was displaced before its hand-over reached the store kept the wish, and gave its next claim up at once. Change: it is forgotten with the ownership. ShardClaimTest has the case.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
@@ -261,10 +261,7 @@
                 nextAppendAt = now.plus(limits.renewal)
                 effects += ClaimEffect.Acquired(record.token, earlierOwnersEnded(before, record))
             }
-            mine && record.released -> {
-                handingOver = false
-                lose("released")
-            }
+            mine && record.released -> lose("released")
             !mine && token != null -> lose("${record.address} claimed the shard with token ${record.token}")
         }
         // Processes that start together may have one incarnation; a token belongs to one claim.
@@ -288,6 +285,7 @@
     }
 
     private fun lose(reason: String) {
+        handingOver = false
         if (token == null) return
         token = null
         effects += ClaimEffect.Lost(reason)
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/ownership/ShardClaimTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/ownership/ShardClaimTest.kt
@@ -4,12 +4,14 @@
 import org.anvilbarrow.protocol.jobs.ClaimRecord
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotEqualTo
+import strikt.assertions.isTrue
 import strikt.assertions.single
 import java.time.Duration
 import java.time.Instant
@@ -305,6 +307,26 @@
         expectThat(small.acquired).hasSize(1)
     }
 
+    /** Guards against an owner that gives a later claim up because an earlier hand-over never reached the store. */
+    @Test
+    fun `a hand-over that another claim preceded does not concern the next claim`() {
+        val world = ClaimWorld()
+        val small = world.add("small", cores = 0.36)
+        world.run(second)
+        small.reachesStore = false
+        small.perform(small.claim.handOver(1.5, world.now))
+        val other = world.add("small-2", cores = 0.36)
+        world.run(second.multipliedBy(6))
+        expectThat(world.owners().map { it.name }).contains("small-2")
+        small.reachesStore = true
+        world.run(second.multipliedBy(2))
+        other.alive = false
+        world.run(second.multipliedBy(14))
+        expectThat(world.owners().map { it.name }).containsExactly("small")
+        val claims = world.log.filter { it.address == "small" }.takeLast(3)
+        expectThat(claims.none { it.released }).isTrue()
+    }
+
     /** Guards against a shard that nobody owns because the process it was meant for has left. */
     @Test
     fun `an owner that handed over to nobody claims again`() {
