Keep no room for a step that cannot run

Cause: room was kept for a gang that waits without asking whether it fits into the upstreams that it may use, so a gang of 40 tasks on 4 upstreams kept all of them idle until it was late, which is never for a long objective.

Change: room is kept, and patient steps wait, only for a step that fits there once it is empty, and patient steps wait only while half of the processors are used.

Test: ExtremeSubmissionTest, patient step beside steps that cannot run; it fails without the change. MixedLoadTest holds.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
@@ -44,6 +44,9 @@
         return maxOf(count, 0)
     }
 
+    /** True if a task of [size] fits while nothing else runs here. */
+    fun couldFit(size: Resources): Boolean = size.fitsIn(capacity)
+
     fun take(size: Resources) {
         freeCpu -= size.cpuMillicores
         freeMemory -= size.memoryMebibytes
@@ -126,6 +129,10 @@
     private val placements = ArrayList<Placement>()
     private val ticketsNeeded = ArrayList<Demand>()
     private val blocked = ArrayList<Demand>()
+
+    /** With much free room, a step that waits does not wait for what patient steps would use. */
+    private val isBusy =
+        rooms.sumOf { it.freeMillicores.toLong() } < rooms.sumOf { it.capacity.cpuMillicores * MOST_FREE }
     private val smallestCapacity = rooms.minOfOrNull { it.capacity.cpuMillicores } ?: 0
     private var keptGangs = 0
 
@@ -162,8 +169,11 @@
     /** Patient steps of lower priority do not take the room that the step waits for. */
     private fun block(demand: Demand) {
         blocked += demand
-        if (demand.rank.lateness > 0 || demand.patient) return
-        rooms.filter(demand::allows).forEach { it.wantedFor(demand.rank.priority) }
+        if (demand.rank.lateness > 0 || demand.patient || !isBusy) return
+        val wanted = rooms.filter { demand.allows(it) && it.couldFit(demand.size) }
+        // Room is not left empty for a gang that does not fit into all of it.
+        if (demand.spec.gang && !couldHold(demand, wanted)) return
+        wanted.forEach { it.wantedFor(demand.rank.priority) }
     }
 
     /** A room for the tasks of [demand]; the smaller is better. */
@@ -257,7 +267,7 @@
         demand: Demand,
         usable: List<Room>,
     ) {
-        if (keptGangs >= MAX_KEPT_GANGS || demand.rank.lateness > 0) return
+        if (keptGangs >= MAX_KEPT_GANGS || demand.rank.lateness > 0 || !couldHold(demand, usable)) return
         keptGangs++
         var missing = demand.tasks.size
         for (room in usable.sortedByDescending { it.freeMillicores }) {
@@ -271,6 +281,9 @@
     private companion object {
         /** A task that takes a fifth of an upstream or more is large. */
         const val LARGE_PARTS = 5
+
+        /** Share of the processors that is free in a cell that is not busy. */
+        const val MOST_FREE = 0.5
         const val REMOTE_PENALTY = 1_000_000
         const val FAILED_PENALTY = 2 * REMOTE_PENALTY
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Relays.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Relays.kt
@@ -8,8 +8,8 @@
 /**
  * Chooses for each upstream the process that calls it on the owner's behalf.
  *
- * A call costs about five times the processor time of the decision behind it, and 60 ms across regions, so calls are
- * spread over the VMs of the upstream's region by their processors. It answers loads at which one VM could decide
+ * Calls need more processor time than the decisions behind them, and 60 ms more across regions, so they are spread over
+ * the VMs of the upstream's region by their processors. It answers loads at which one VM could decide
  * every start but not make every call: several hundred upstreams for an owner with a third of a core.
  *
  * Each change of the process gives the upstream a higher fencing token, so no two processes share one and what an
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/ExtremeSubmissionTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/ExtremeSubmissionTest.kt
@@ -36,6 +36,27 @@
         expectThat(world.broken).isEmpty()
     }
 
+    /** Guards against room that is left empty for an urgent step which no upstream can ever run. */
+    @Test
+    fun `a patient step does not wait for the room of a step that cannot run`() {
+        val queues =
+            listOf(
+                queue("urgent", priority = 0, target = Duration.ofHours(1)),
+                queue("patient", priority = 2, target = Duration.ofHours(1)),
+            )
+        val world = JobWorld(queues = queues)
+        world.run(second)
+        world.submit("0000000000000001", step(1, cpuMillicores = 65_000), queue = "urgent")
+        val gang = step(40, cpuMillicores = 60_000, gang = true)
+        world.ask(JobRequest.Submit(JobId("0000000000000002"), "urgent", JobSpec("gang", listOf(gang))))
+        world.submit("0000000000000003", step(2, cpuMillicores = 60_000, millis = 500), queue = "patient")
+        world.submit("0000000000000004", step(2, cpuMillicores = 60_000, millis = 500), queue = "patient")
+        world.run(second.multipliedBy(3))
+        expectThat(world.phase("0000000000000003")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.phase("0000000000000004")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.broken).isEmpty()
+    }
+
     @ParameterizedTest
     @MethodSource("outOfBounds")
     fun `a submission that cannot be calculated with is rejected with the field`(spec: JobSpec) {
