Bound payloads by bytes

Cause: payloads were bounded by 4,000 characters, up to 12,000 bytes, and 14 orders of that size make a message over the frame limit, which is dropped each time. Change: 4,000 bytes, as callers may send. ExtremeSubmissionTest has the case.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/SubmissionCheck.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/SubmissionCheck.kt
@@ -7,8 +7,8 @@
 
 /** Finds submissions that can never run, or whose numbers cannot be calculated with. */
 public object SubmissionCheck {
-    /** Longest payload, in characters; callers may send 4,000 bytes. */
-    private const val MAX_PAYLOAD_CHARS = 4_000
+    /** Longest payload, in bytes; messages between processes hold several payloads of this length. */
+    private const val MAX_PAYLOAD_BYTES = 4_000
     private const val MAX_STEPS = 64
     private const val MAX_TASKS = 10_000
     private const val MAX_NAME_CHARS = 256
@@ -20,8 +20,9 @@
     /** Returns what is wrong with [request], naming the field, or null. */
     public fun problemOf(request: JobRequest.Submit): String? {
         val steps = request.spec.steps
-        if (request.spec.payload.length > MAX_PAYLOAD_CHARS) {
-            return "payload has ${request.spec.payload.length} characters, the limit is $MAX_PAYLOAD_CHARS"
+        val payloadBytes = request.spec.payload.encodeToByteArray().size
+        if (payloadBytes > MAX_PAYLOAD_BYTES) {
+            return "payload has $payloadBytes bytes, the limit is $MAX_PAYLOAD_BYTES"
         }
         if (steps.isEmpty() ||
             steps.size > MAX_STEPS
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/ExtremeSubmissionTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/ExtremeSubmissionTest.kt
@@ -77,6 +77,7 @@
         fun outOfBounds() =
             listOf(
                 spec(List(64) { step(10_000) }),
+                spec().copy(payload = "\u00e4".repeat(2_001)),
                 spec(listOf(step(1).copy(image = "i".repeat(257)))),
                 spec(listOf(step(1).copy(dependsOn = List(65) { 0 }))),
                 spec(schedule = JobSchedule(2, Long.MAX_VALUE, 1)),
