--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
@@ -99,8 +99,9 @@
 
     /** Hands the shard over while the largest process of the cell has many more cores than this one. */
     private fun reviewSize(now: Instant) {
+        if (cell == null) return
         val largest = parts.process.helpers.maxOfOrNull { it.cores } ?: return
-        if (cell == null || parts.self.cores >= largest * parts.claimLimits.smallerShare) {
+        if (parts.self.cores >= largest * parts.claimLimits.smallerShare) {
             smallerSince = null
             return
         }
@@ -248,6 +249,7 @@
     private fun lost(reason: String) {
         log.info { "event=shard-lost shard=$shard detail=\"$reason\"" }
         cell = null
+        smallerSince = null
         unconfirmedSince = null
         journal?.close()
         journal = null
