--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/SubmissionCheck.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/SubmissionCheck.kt
@@ -20,7 +20,10 @@
     /** Returns what is wrong with [request], naming the field, or null. */
     public fun problemOf(request: JobRequest.Submit): String? {
         val steps = request.spec.steps
-        val payloadBytes = request.spec.payload.encodeToByteArray().size
+        val payloadBytes =
+            request.spec.payload
+                .encodeToByteArray()
+                .size
         if (payloadBytes > MAX_PAYLOAD_BYTES) {
             return "payload has $payloadBytes bytes, the limit is $MAX_PAYLOAD_BYTES"
         }
