Compute chains, objectives and decoder outcomes once

Found by reading the whole change: - The dispatcher sorted all rooms for the names of a call for advice also while a call about the step was open, in every batch; it asks first whether a call may be made. - A step's objective was worked out twice for each pass; the time left comes from the deadline of its rank. - The longest chain of a job is the largest of the chains from each step, and has no loop of its own any more. - The kinds of exceptions that the CBOR decoder throws stand in one place, for peers' frames and stored records. - One constant says when a run is complete; a function of 'ShardSeat' that nothing called is gone.

No check, bound or expectation changed.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
@@ -76,7 +76,7 @@
             steps.mapNotNull { step ->
                 val terms = rank.queueOf(step).advice
                 if (terms != null && step.advice.good.isEmpty()) {
-                    ask(step, terms, naming.choose(step, rooms, listed))
+                    if (mayAsk(step)) ask(step, terms, naming.choose(step, rooms, listed))
                     null
                 } else {
                     demandOf(step, rank, terms != null)
@@ -98,29 +98,39 @@
     ): Demand? {
         if (!step.job.stored) return null
         val tasks = step.startable().ifEmpty { return null }
+        val ranked = rank.of(step)
         return Demand(
             step = step,
-            rank = rank.of(step),
+            rank = ranked,
             tasks = tasks,
             permitted = if (advised) permitted(step) else null,
-            patient = rank.laxityOf(step) > limits.patience,
+            patient = laxity(step, ranked) > limits.patience,
             ticketed = !advised || step.advice.isFresh(state.now),
             runningOn = { id -> state.upstreams[id]?.let(step::countOn) ?: 0 },
             avoids = { id -> step.failedOn.any { it.id == id } },
         )
     }
 
+    /** How long [step] can wait and still meet the objective of its job. */
+    private fun laxity(
+        step: StepRun,
+        rank: Rank,
+    ): Duration = Duration.between(state.now, rank.deadline).minusMillis(step.job.remainingChain(step.ref.step))
+
     /** With valid tickets, the upstreams that have one: a good one that was not asked about again would reject. */
     private fun permitted(step: StepRun): Set<UpstreamId> =
         if (step.advice.isFresh(state.now)) step.advice.tickets.keys else step.advice.good
 
+    /** False while a call about [step] is open, or soon after one that failed. */
+    private fun mayAsk(step: StepRun): Boolean = step.advice.call == null && !state.now.isBefore(step.advice.retryAt)
+
     private fun ask(
         step: StepRun,
         terms: AdviceTerms,
         upstreams: Collection<UpstreamId>,
     ) {
         val named = upstreams.take(AdviceNaming.MOST_NAMES)
-        if (named.isEmpty() || step.advice.call != null || state.now.isBefore(step.advice.retryAt)) return
+        if (named.isEmpty() || !mayAsk(step)) return
         val placed = desk.place(step, named, terms.cost(named.size), state.now) ?: return
         state.emit(CellEffect.Advise(placed.call, placed.helper, step.ref, named, placed.timeout))
     }
@@ -195,12 +205,6 @@
     fun queueOf(step: StepRun): QueueConfig =
         checkNotNull(state.queueOf(step.job)) { "queue ${step.job.queue} is not configured" }
 
-    /** How long [step] can wait and still meet the objective of its job. */
-    fun laxityOf(step: StepRun): Duration {
-        val deadline = step.job.dueAt(step.ref.occurrence).plus(objective(step, queueOf(step)))
-        return Duration.between(state.now, deadline).minusMillis(step.job.remainingChain(step.ref.step))
-    }
-
     fun of(step: StepRun): Rank {
         val queue = queueOf(step)
         val start = step.job.dueAt(step.ref.occurrence)
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -45,12 +45,12 @@
     /** Number of occurrences whose steps are in [steps]. */
     var opened = 0
 
-    /** Longest chain of estimated run times. */
-    val chain: Duration = Duration.ofMillis(longestChain(spec))
-
     /** Longest chain of estimated run times from each step on, in milliseconds. */
     private val chainsFrom: LongArray = chainsFrom(spec)
 
+    /** Longest chain of estimated run times. */
+    val chain: Duration = Duration.ofMillis(chainsFrom.maxOrNull() ?: 0)
+
     /** Returns the longest chain of estimated run times from [step] on, in milliseconds. */
     fun remainingChain(step: Int): Long = chainsFrom[step]
 
@@ -90,14 +90,6 @@
             }
             return chains
         }
-
-        fun longestChain(spec: JobSpec): Long {
-            val ends = LongArray(spec.steps.size)
-            spec.steps.forEachIndexed { index, step ->
-                ends[index] = step.estimate.toMillis() + (step.dependsOn.maxOfOrNull { ends[it] } ?: 0)
-            }
-            return ends.maxOrNull() ?: 0
-        }
     }
 }
 
@@ -196,6 +188,11 @@
     var nextOrderAt: Instant = Instant.MIN
     var percent = 0
     var progressedAt: Instant = Instant.MIN
+
+    companion object {
+        /** Value of [percent] once all work is done. */
+        const val COMPLETE_PERCENT = 100
+    }
 }
 
 /** What the advice service said of a step. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
@@ -252,7 +252,7 @@
                 answeredAt = state.now
                 // When the run began is not known; its progress tells roughly.
                 startedAt =
-                    state.now.minusMillis((step?.spec?.estimate?.toMillis() ?: 0) * row.percent / COMPLETE_PERCENT)
+                    state.now.minusMillis((step?.spec?.estimate?.toMillis() ?: 0) * row.percent / Run.COMPLETE_PERCENT)
                 progressedAt = state.now
                 percent = row.percent
             }
@@ -311,8 +311,4 @@
         }
         state.dispatchNeeded = true
     }
-
-    private companion object {
-        const val COMPLETE_PERCENT = 100
-    }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunReview.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunReview.kt
@@ -33,7 +33,7 @@
     private fun isStuck(run: Run): Boolean {
         val step = run.step ?: return false
         return !step.spec.longRunning &&
-            run.percent < COMPLETE_PERCENT &&
+            run.percent < Run.COMPLETE_PERCENT &&
             run.upstream.failedLooks == 0 &&
             run.upstream.seenAt?.isAfter(run.progressedAt.plus(limits.stuckAfter)) == true
     }
@@ -58,8 +58,4 @@
             runs.stopAll(step)
         }
     }
-
-    private companion object {
-        const val COMPLETE_PERCENT = 100
-    }
 }
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/codec/Codecs.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/codec/Codecs.kt
@@ -16,24 +16,31 @@
         classDiscriminator = "type"
     }
 
-/** Decodes [bytes], or returns null if they do not hold such a value; the decoder throws these kinds. */
+/** Decodes [bytes], or returns null if they do not hold such a value. */
 @OptIn(ExperimentalSerializationApi::class)
 public fun <T> Cbor.decodeOrNull(
     serializer: KSerializer<T>,
     bytes: ByteArray,
-): T? =
+): T? = decoded({ decodeFromByteArray(serializer, bytes) }, { null })
+
+/** Returns what [decode] returns, or [malformed] of what it throws; the CBOR decoder throws these kinds. */
+@Suppress("TooGenericExceptionCaught")
+private inline fun <T> decoded(
+    decode: () -> T,
+    malformed: (RuntimeException) -> T,
+): T =
     try {
-        decodeFromByteArray(serializer, bytes)
-    } catch (_: SerializationException) {
-        null
-    } catch (_: IllegalArgumentException) {
-        null
-    } catch (_: IllegalStateException) {
-        null
-    } catch (_: IndexOutOfBoundsException) {
-        null
-    } catch (_: NegativeArraySizeException) {
-        null
+        decode()
+    } catch (e: SerializationException) {
+        malformed(e)
+    } catch (e: IllegalArgumentException) {
+        malformed(e)
+    } catch (e: IllegalStateException) {
+        malformed(e)
+    } catch (e: IndexOutOfBoundsException) {
+        malformed(e)
+    } catch (e: NegativeArraySizeException) {
+        malformed(e)
     }
 
 /** Result of decoding a frame from a peer. */
@@ -60,22 +67,10 @@
     /** Encodes [message] as one frame without its length prefix. */
     public fun encode(message: PeerMessage): ByteArray = cbor.encodeToByteArray<PeerMessage>(message)
 
-    /**
-     * Decodes one frame; a frame that is not a known message gives [DecodedFrame.Malformed].
-     *
-     * The CBOR decoder throws [IllegalStateException] or [IndexOutOfBoundsException] for truncated frames.
-     */
-    @Suppress("TooGenericExceptionCaught")
+    /** Decodes one frame; a frame that is not a known message gives [DecodedFrame.Malformed]. */
     public fun decode(frame: ByteArray): DecodedFrame =
-        try {
-            DecodedFrame.Message(cbor.decodeFromByteArray<PeerMessage>(frame))
-        } catch (e: SerializationException) {
-            DecodedFrame.Malformed(e.message ?: "not a CBOR message")
-        } catch (e: IllegalArgumentException) {
-            DecodedFrame.Malformed(e.message ?: "not a CBOR message")
-        } catch (e: IllegalStateException) {
-            DecodedFrame.Malformed(e.message ?: "truncated CBOR message")
-        } catch (e: IndexOutOfBoundsException) {
-            DecodedFrame.Malformed(e.message ?: "truncated CBOR message")
-        }
+        decoded(
+            { DecodedFrame.Message(cbor.decodeFromByteArray<PeerMessage>(frame)) },
+            { DecodedFrame.Malformed(it.message ?: "not a CBOR message") },
+        )
 }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
@@ -125,10 +125,6 @@
         }
     }
 
-    fun advised(event: CellEvent.Advised) {
-        if (cell != null) events += event
-    }
-
     /**
      * Handles what was collected since the last call, unless that was a moment ago.
      *
