Account for the time of each finished job

Cause: the decision log told where a job was placed, not why its end was late. Change: the owner logs job-ended with the time before it, for the store, advice, room, work and beyond the estimate, along the chain of steps that ended last; 'anvilbarrow account FILE' sums it up by queue.

--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobAccount.kt
@@ -0,0 +1,84 @@
+package org.anvilbarrow.kernel.jobs
+
+import org.anvilbarrow.protocol.jobs.JobPhase
+import java.time.Duration
+
+/** What kept the end of a job away, along the chain of its steps that ended last. */
+public enum class DelayCause(
+    /** Name in the decision log. */
+    internal val key: String,
+) {
+    /** The job was due before this owner knew it: a takeover, or a caller that an earlier owner served. */
+    EARLIER_OWNER("earlier_ms"),
+
+    /** The submission was not stored yet. */
+    STORE("store_ms"),
+
+    /** The first answer of the advice service was awaited. */
+    ADVICE("advice_ms"),
+
+    /** No permitted upstream had room. */
+    ROOM("room_ms"),
+
+    /** Time above the caller's estimate: a slow upstream, tasks started later than the first, or runs that failed. */
+    BEYOND_ESTIMATE("beyond_ms"),
+}
+
+/**
+ * Where the time of one finished job went; [delays] and [work] add up to [took].
+ *
+ * ```
+ * val account = JobAccount.parse("queue=q phase=COMPLETED core_ms=800 took_ms=950 ...")
+ * ```
+ */
+public data class JobAccount(
+    val queue: String,
+    val phase: JobPhase,
+    /** Processor time that the caller estimated. */
+    val coreTime: Duration,
+    val took: Duration,
+    /** Latency objective of the queue for this job, from the caller's estimates. */
+    val objective: Duration,
+    val delays: Map<DelayCause, Duration>,
+    val work: Duration,
+    /** Runs that ended without completing their task. */
+    val repeats: Int,
+) {
+    val isInTime: Boolean get() = took <= objective
+
+    /** The cause of the longest delay. */
+    val mainCause: DelayCause get() = delays.maxBy { it.value }.key
+
+    /** Text for the decision log. */
+    public fun format(): String =
+        "queue=$queue phase=$phase core_ms=${coreTime.toMillis()} took_ms=${took.toMillis()} " +
+            "objective_ms=${objective.toMillis()} " +
+            DelayCause.entries.joinToString(" ") { "${it.key}=${delays.getValue(it).toMillis()}" } +
+            " work_ms=${work.toMillis()} repeats=$repeats"
+
+    public companion object {
+        /** Returns what [format] wrote, or null if [text] is something else. */
+        public fun parse(text: String): JobAccount? {
+            val fields =
+                text.split(' ').associate {
+                    it.substringBefore('=') to
+                        it.substringAfter('=', missingDelimiterValue = "")
+                }
+            val delays =
+                DelayCause.entries.associateWith { cause -> fields.millis(cause.key) ?: return null }
+            return JobAccount(
+                queue = fields["queue"] ?: return null,
+                phase = JobPhase.entries.find { it.name == fields["phase"] } ?: return null,
+                coreTime = fields.millis("core_ms") ?: return null,
+                took = fields.millis("took_ms") ?: return null,
+                objective = fields.millis("objective_ms") ?: return null,
+                delays = delays,
+                work = fields.millis("work_ms") ?: return null,
+                repeats = fields["repeats"]?.toIntOrNull() ?: return null,
+            )
+        }
+
+        private fun Map<String, String>.millis(key: String): Duration? =
+            get(key)?.toLongOrNull()?.let(Duration::ofMillis)
+    }
+}
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobDesk.kt
@@ -20,6 +20,7 @@
     )
 
     private val waiting = ArrayList<WaitingCaller>()
+    private val accounts = JobAccounts(state)
 
     fun handle(
         call: CallKey,
@@ -88,6 +89,7 @@
         state.journal.afterStored {
             if (!job.stored) {
                 job.stored = true
+                job.storedAt = state.now
                 state.decided("job-accepted", job.id, "queue ${job.queue}, ${job.spec.steps.size} step(s)")
                 state.dispatchNeeded = true
             }
@@ -140,6 +142,7 @@
     /** Adds [step] to the steps that the dispatcher considers, if it is open and has waiting tasks. */
     fun offer(step: StepRun) {
         if (step.job.phase.isFinal || step.waiting.isEmpty || !step.open) return
+        if (step.openedAt == null) step.openedAt = state.now
         if (state.ready.add(step)) state.dispatchNeeded = true
     }
 
@@ -148,6 +151,7 @@
         val job = step.job
         state.journal.changed(job)
         if (!step.isDone || job.phase.isFinal) return
+        step.doneAt = state.now
         state.ready -= step
         job.steps.values
             .filter { it.ref.occurrence == step.ref.occurrence }
@@ -173,6 +177,7 @@
         job.phase = phase
         job.reason = reason
         job.endedAt = state.now
+        accounts.close(job)
         state.journal.changed(job)
         job.steps.values.forEach { step ->
             state.ready -= step
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -35,6 +35,9 @@
     /** True once the submission is on the store. */
     var stored = false
 
+    /** When the submission was known to be stored, or null for a job that an earlier owner accepted. */
+    var storedAt: Instant? = null
+
     /** True while runs of an earlier owner may exist that are not known yet. */
     var barred = false
 
@@ -119,6 +122,14 @@
     var begun = false
     val advice = StepAdvice()
 
+    /** When this owner first saw the step open, started a task of it, and saw it done. */
+    var openedAt: Instant? = null
+    var placedAt: Instant? = null
+    var doneAt: Instant? = null
+
+    /** Runs that ended without completing their task. */
+    var repeats = 0
+
     val isDone: Boolean get() = done.cardinality() == spec.tasks
 
     /** True once all steps that this one depends on are done. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunDesk.kt
@@ -33,6 +33,7 @@
         run.checkpoint = checkpointFor(step, index)
         run.startedAt = state.now
         run.progressedAt = state.now
+        if (step.placedAt == null) step.placedAt = state.now
         step.waiting.clear(index)
         step.active[index] = run
         if (!step.begun) {
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/TaskOutcomes.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/TaskOutcomes.kt
@@ -74,6 +74,7 @@
         index: Int,
     ) {
         if (step.done.get(index) || step.job.phase.isFinal || index in step.active) return
+        step.repeats++
         step.waiting.set(index)
         jobs.offer(step)
     }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/Main.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/Main.kt
@@ -4,6 +4,7 @@
 import com.github.ajalt.clikt.core.CliktError
 import com.github.ajalt.clikt.core.parse
 import com.github.ajalt.clikt.core.subcommands
+import org.anvilbarrow.scheduler.cli.AccountCommand
 import org.anvilbarrow.scheduler.cli.CheckCommand
 import org.anvilbarrow.scheduler.cli.QuickstartCommand
 import org.anvilbarrow.scheduler.cli.RunCommand
@@ -26,7 +27,15 @@
         StandInCommand().subcommands(StandInUpstreamCommand(), StandInLogCommand(), StandInVmListCommand())
     val command =
         Anvilbarrow()
-            .subcommands(RunCommand(), ServeCommand(), CheckCommand(), SettingsCommand(), standIns, QuickstartCommand())
+            .subcommands(
+                RunCommand(),
+                ServeCommand(),
+                CheckCommand(),
+                SettingsCommand(),
+                AccountCommand(),
+                standIns,
+                QuickstartCommand(),
+            )
     val status =
         try {
             command.parse(args)
