Send a batch again while the first copy has no answer

Change: after 0.45 s, or twice the time of the last answer, a copy with the same sequence number goes out on another connection; the store takes it once.

Tried beside it and not kept: a second batch in flight while the store answers slowly. The store handles appends one after the other for 43% of their time, so there is little to gain, and an owner with two batches in flight has more states.

--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/JournalWriter.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/JournalWriter.kt
@@ -5,6 +5,7 @@
 import org.anvilbarrow.adapters.cell.AppendOutcome
 import org.anvilbarrow.protocol.jobs.KeyedRecord
 import java.time.Duration
+import java.time.Instant
 
 private val log = KotlinLogging.logger("anvilbarrow.shard")
 
@@ -18,17 +19,30 @@
     private val token: Long,
     private val parts: CellParts,
 ) {
+    private class Batch(
+        val records: List<KeyedRecord>,
+        val sequence: Long,
+        val done: (Boolean) -> Unit,
+    ) {
+        var attempts = 0
+        var ended = false
+        var sentAt: Instant = Instant.MIN
+    }
+
     private var lastSequence = 0L
     private var failures = 0
     private var closed = false
 
+    /** Time from the last attempt to the answer of the last batch. */
+    private var lastTook: Duration = Duration.ZERO
+
     /** Calls [done] with true once [records] are stored, or with false once a later owner has written. */
     fun write(
         records: List<KeyedRecord>,
         done: (Boolean) -> Unit,
     ) {
         lastSequence++
-        send(records, lastSequence, done)
+        send(Batch(records, lastSequence, done))
     }
 
     /** Sends nothing any more. */
@@ -36,45 +50,66 @@
         closed = true
     }
 
-    private fun send(
-        records: List<KeyedRecord>,
-        sequence: Long,
-        done: (Boolean) -> Unit,
-    ) {
-        if (closed) return
-        val condition = AppendCondition.Once(JOB_PRODUCER, token, sequence)
-        parts.store.append(JOB_TOPIC, shard, records, condition).thenAccept { outcome ->
-            parts.post {
-                when (outcome) {
-                    is AppendOutcome.Appended -> stored(done)
-                    AppendOutcome.Fenced -> done(false)
-                    // The batch was stored by an order that had no answer, and is no longer among the last five.
-                    is AppendOutcome.OutOfSequence ->
-                        if ((outcome.expected ?: 0) > sequence) stored(done) else done(false)
-                    else -> again(records, sequence, outcome, done)
-                }
-            }
+    private fun isOver(batch: Batch): Boolean = closed || batch.ended
+
+    private fun send(batch: Batch) {
+        if (isOver(batch)) return
+        batch.attempts++
+        batch.sentAt = parts.clock.instant()
+        val attempt = batch.attempts
+        val condition = AppendCondition.Once(JOB_PRODUCER, token, batch.sequence)
+        parts.store.append(JOB_TOPIC, shard, batch.records, condition).thenAccept { outcome ->
+            parts.post { if (!isOver(batch)) ended(batch, attempt, outcome) }
         }
+        // A connection whose answer was lost stays silent, while a new one may work.
+        sendLater(batch, attempt, maxOf(RESEND, lastTook.multipliedBy(2)))
     }
 
-    private fun stored(done: (Boolean) -> Unit) {
-        if (failures > 0) log.info { "event=store-regained shard=$shard failures=$failures" }
-        failures = 0
-        done(true)
+    /** Sends [batch] again after [pause] if no attempt was made since [attempt]. */
+    private fun sendLater(
+        batch: Batch,
+        attempt: Int,
+        pause: Duration,
+    ) {
+        if (isOver(batch)) return
+        parts.later.run(pause) { if (batch.attempts == attempt) send(batch) }
     }
 
-    private fun again(
-        records: List<KeyedRecord>,
-        sequence: Long,
+    private fun ended(
+        batch: Batch,
+        attempt: Int,
         outcome: AppendOutcome,
-        done: (Boolean) -> Unit,
     ) {
-        failures++
-        if (failures == 1) log.warn { "event=store-lost shard=$shard detail=\"$outcome\"" }
-        parts.later.run(RETRY) { send(records, sequence, done) }
+        when (outcome) {
+            is AppendOutcome.Appended -> end(batch, stored = true)
+            AppendOutcome.Fenced -> end(batch, stored = false)
+            // The batch was stored by an attempt that had no answer, and is no longer among the last five.
+            is AppendOutcome.OutOfSequence -> end(batch, stored = (outcome.expected ?: 0) > batch.sequence)
+            else -> {
+                failures++
+                if (failures == 1) log.warn { "event=store-lost shard=$shard detail=\"$outcome\"" }
+                sendLater(batch, attempt, RETRY)
+            }
+        }
+    }
+
+    private fun end(
+        batch: Batch,
+        stored: Boolean,
+    ) {
+        batch.ended = true
+        lastTook = Duration.between(batch.sentAt, parts.clock.instant())
+        if (stored && failures > 0) {
+            log.info { "event=store-regained shard=$shard failures=$failures" }
+            failures = 0
+        }
+        batch.done(stored)
     }
 
     private companion object {
         val RETRY: Duration = Duration.ofMillis(150)
+
+        /** Shortest time without an answer; a store that is 50 times slower than usual answers in 350 ms. */
+        val RESEND: Duration = Duration.ofMillis(450)
     }
 }
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/JournalFencingTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/JournalFencingTest.kt
@@ -1,21 +1,10 @@
 package org.anvilbarrow.scheduler.cell
 
-import kotlinx.collections.immutable.ImmutableList
-import kotlinx.collections.immutable.persistentListOf
 import org.anvilbarrow.adapters.cell.AppendCondition
 import org.anvilbarrow.adapters.cell.AppendOutcome
 import org.anvilbarrow.adapters.cell.CellStore
 import org.anvilbarrow.adapters.cell.NewestOutcome
-import org.anvilbarrow.adapters.cell.PauseDetector
-import org.anvilbarrow.adapters.cell.PlatformCatalog
 import org.anvilbarrow.adapters.cell.ReadOutcome
-import org.anvilbarrow.kernel.jobs.CallKey
-import org.anvilbarrow.kernel.jobs.CellConfig
-import org.anvilbarrow.kernel.jobs.CellLimits
-import org.anvilbarrow.kernel.jobs.UpstreamEntry
-import org.anvilbarrow.kernel.ownership.ClaimLimits
-import org.anvilbarrow.protocol.jobs.CellMember
-import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.KeyedRecord
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -74,45 +63,10 @@
             CompletableFuture.completedFuture(NewestOutcome.Complete(records.toList(), records.size.toLong()))
     }
 
-    private object NoCatalog : PlatformCatalog {
-        override val operatorTopic = "operators"
-        override val upstreamTopic = "upstreams"
-
-        override fun config(record: KeyedRecord): CellConfig? = null
-
-        override fun upstream(record: KeyedRecord): UpstreamEntry? = null
-    }
-
-    private object NoView : CellProcessView {
-        override val config: CellConfig? = null
-        override val helpers: ImmutableList<CellMember> = persistentListOf()
-
-        override fun answer(
-            call: CallKey,
-            answer: JobAnswer,
-        ) = Unit
-    }
-
     private val clock = InstantSource.system()
     private val store = EpochStore()
 
-    private fun partsOf(address: String) =
-        CellParts(
-            CellMember(address, "region", "domain", 1.0),
-            1,
-            1,
-            clock,
-            { PauseDetector(clock, clock) },
-            { _, task -> task() },
-            store,
-            OrderDispatch(address, { error("no orders") }, clock, { it() }, { _, _ -> false }),
-            NoCatalog,
-            { _, _, _ -> },
-            DecisionLog(1),
-            CellLimits(),
-            ClaimLimits(),
-            NoView,
-        )
+    private fun partsOf(address: String) = testParts(address, store, clock) { _, task -> task() }
 
     /** Takes the shard over at [address] and returns what the owner writes with. */
     private fun takeOver(
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/TestParts.kt
@@ -0,0 +1,114 @@
+package org.anvilbarrow.scheduler.cell
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.persistentListOf
+import org.anvilbarrow.adapters.cell.AppendCondition
+import org.anvilbarrow.adapters.cell.AppendOutcome
+import org.anvilbarrow.adapters.cell.CellStore
+import org.anvilbarrow.adapters.cell.Later
+import org.anvilbarrow.adapters.cell.NewestOutcome
+import org.anvilbarrow.adapters.cell.PauseDetector
+import org.anvilbarrow.adapters.cell.PlatformCatalog
+import org.anvilbarrow.adapters.cell.ReadOutcome
+import org.anvilbarrow.kernel.jobs.CallKey
+import org.anvilbarrow.kernel.jobs.CellConfig
+import org.anvilbarrow.kernel.jobs.CellLimits
+import org.anvilbarrow.kernel.jobs.UpstreamEntry
+import org.anvilbarrow.kernel.ownership.ClaimLimits
+import org.anvilbarrow.protocol.jobs.CellMember
+import org.anvilbarrow.protocol.jobs.JobAnswer
+import org.anvilbarrow.protocol.jobs.KeyedRecord
+import java.time.Duration
+import java.time.Instant
+import java.time.InstantSource
+import java.util.PriorityQueue
+import java.util.concurrent.CompletableFuture
+
+/** Parts of a process that has a store and a clock, and neither upstreams nor peers. */
+internal fun testParts(
+    address: String,
+    store: CellStore,
+    clock: InstantSource,
+    later: Later,
+) = CellParts(
+    CellMember(address, "region", "domain", 1.0),
+    1,
+    1,
+    clock,
+    { PauseDetector(clock, clock) },
+    later,
+    store,
+    OrderDispatch(address, { error("no orders") }, clock, { it() }, { _, _ -> false }),
+    NoCatalog,
+    { _, _, _ -> },
+    DecisionLog(1),
+    CellLimits(),
+    ClaimLimits(),
+    NoView,
+)
+
+private object NoCatalog : PlatformCatalog {
+    override val operatorTopic = "operators"
+    override val upstreamTopic = "upstreams"
+
+    override fun config(record: KeyedRecord): CellConfig? = null
+
+    override fun upstream(record: KeyedRecord): UpstreamEntry? = null
+}
+
+private object NoView : CellProcessView {
+    override val config: CellConfig? = null
+    override val helpers: ImmutableList<CellMember> = persistentListOf()
+
+    override fun answer(
+        call: CallKey,
+        answer: JobAnswer,
+    ) = Unit
+}
+
+/** A store that answers appends when the test says so, on a controlled clock. */
+internal class WriterWorld : CellStore {
+    private class Task(
+        val at: Instant,
+        val order: Int,
+        val run: () -> Unit,
+    )
+
+    private var now: Instant = Instant.ofEpochSecond(100)
+    private val tasks = PriorityQueue<Task>(compareBy({ it.at }, { it.order }))
+    private var lastTask = 0
+    val appends = ArrayList<JournalWriterTest.OpenAppend>()
+    val parts =
+        testParts("10.0.0.1:7000", this, { now }) { pause, task ->
+            if (pause.isZero) task() else tasks += Task(now.plus(pause), lastTask++, task)
+        }
+
+    fun run(time: Duration) {
+        val end = now.plus(time)
+        while (tasks.peek()?.at?.isAfter(end) == false) {
+            val task = tasks.remove()
+            now = task.at
+            task.run()
+        }
+        now = end
+    }
+
+    override fun append(
+        topic: String,
+        partition: Int,
+        records: List<KeyedRecord>,
+        condition: AppendCondition,
+    ): CompletableFuture<AppendOutcome> = JournalWriterTest.OpenAppend(condition).also { appends += it }.reply
+
+    override fun read(
+        topic: String,
+        partition: Int,
+        from: Long,
+        wait: Duration,
+    ): CompletableFuture<ReadOutcome> = error("not read")
+
+    override fun newest(
+        topic: String,
+        partition: Int,
+    ): CompletableFuture<NewestOutcome> = error("not read")
+}
