Start processes faster: rehearse whole jobs for the class archive

A process loaded 2,950 classes from the archive and 1,190 to 1,520 from the jar, as the rehearsal of the build met neither store nor upstreams; 273 of them were call sites that Kotlin links at run time.

Log lines are formatted without a pattern that is parsed at the start, and only the command that runs is built.

--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/CallerServer.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/http/CallerServer.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.adapters.http
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import org.eclipse.jetty.http.UriCompliance
 import org.eclipse.jetty.server.HttpConfiguration
 import org.eclipse.jetty.server.HttpConnectionFactory
@@ -10,6 +11,9 @@
 import org.http4k.core.HttpHandler
 import java.net.InetSocketAddress
 import java.time.Duration
+import java.util.concurrent.TimeoutException
+
+private val log = KotlinLogging.logger("anvilbarrow.http")
 
 /** Serves [handler] over HTTP/1.1 on Jetty at [address] and at [more]. */
 public class CallerServer(
@@ -26,13 +30,21 @@
         return (server.connectors.first() as ServerConnector).localPort
     }
 
-    /** Accepts no more connections and waits up to [grace] for the exchanges in flight. */
-    public fun stop(grace: Duration) {
+    /** Accepts no more connections and waits up to [grace] for the exchanges in flight; returns true if all ended. */
+    public fun stop(grace: Duration): Boolean {
         server.stopTimeout = grace.toMillis()
-        server.stop()
+        return try {
+            server.stop()
+            true
+        } catch (e: TimeoutException) {
+            log.warn { "Exchanges at $address were still open after $grace: ${e.message}." }
+            false
+        }
     }
 
-    override fun close(): Unit = server.stop()
+    override fun close() {
+        stop(Duration.ofMillis(server.stopTimeout))
+    }
 
     private fun server(): Server {
         val threads = QueuedThreadPool(limits.maxExchanges + SPARE_THREADS, MIN_THREADS, THREAD_IDLE_MILLIS)
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/Main.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/Main.kt
@@ -7,6 +7,7 @@
 import org.anvilbarrow.scheduler.cli.AccountCommand
 import org.anvilbarrow.scheduler.cli.CheckCommand
 import org.anvilbarrow.scheduler.cli.QuickstartCommand
+import org.anvilbarrow.scheduler.cli.RehearseCommand
 import org.anvilbarrow.scheduler.cli.RunCommand
 import org.anvilbarrow.scheduler.cli.ServeCommand
 import org.anvilbarrow.scheduler.cli.SettingsCommand
@@ -21,21 +22,25 @@
     override fun run(): Unit = Unit
 }
 
+/** The commands by name; a process builds only the one that it runs, as a restart has to be quick. */
+private val commands: Map<String, () -> CliktCommand> =
+    mapOf(
+        "run" to ::RunCommand,
+        "serve" to ::ServeCommand,
+        "check" to ::CheckCommand,
+        "settings" to ::SettingsCommand,
+        "account" to ::AccountCommand,
+        "rehearse" to ::RehearseCommand,
+        "stand-in" to {
+            StandInCommand().subcommands(StandInUpstreamCommand(), StandInLogCommand(), StandInVmListCommand())
+        },
+        "quickstart" to ::QuickstartCommand,
+    )
+
 /** Starts the program `anvilbarrow`. */
 public fun main(args: Array<String>) {
-    val standIns =
-        StandInCommand().subcommands(StandInUpstreamCommand(), StandInLogCommand(), StandInVmListCommand())
-    val command =
-        Anvilbarrow()
-            .subcommands(
-                RunCommand(),
-                ServeCommand(),
-                CheckCommand(),
-                SettingsCommand(),
-                AccountCommand(),
-                standIns,
-                QuickstartCommand(),
-            )
+    val named = args.firstOrNull()?.let(commands::get)
+    val command = Anvilbarrow().subcommands(named?.let { listOf(it()) } ?: commands.values.map { it() })
     val status =
         try {
             command.parse(args)
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/Rehearsal.kt
@@ -0,0 +1,90 @@
+package org.anvilbarrow.scheduler.cell
+
+import kotlinx.collections.immutable.persistentMapOf
+import org.anvilbarrow.adapters.cell.HttpCaller
+import org.anvilbarrow.adapters.settings.CellSettings
+import org.anvilbarrow.adapters.settings.ListenAddress
+import org.anvilbarrow.kernel.jobs.CellLimits
+import org.anvilbarrow.platform.standin.CallerStandIn
+import org.anvilbarrow.platform.standin.PlatformStandIn
+import org.anvilbarrow.scheduler.process.MonotonicClock
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.time.Duration
+
+/**
+ * Runs jobs on two processes of a cell and a stand-in of the platform, all in this process.
+ *
+ * It shows that the whole path works, and loads the classes that a process of a cell uses, for the class archive.
+ */
+internal class Rehearsal(
+    private val ports: (CellSettings) -> PlatformPorts,
+) : AutoCloseable {
+    private val clock = MonotonicClock()
+    private val platform = PlatformStandIn(clock)
+    private val http = HttpCaller("rehearsal")
+    private val processes = ArrayList<CellProcess>()
+
+    /** Runs [jobs] jobs and returns how many were completed within [timeout]. */
+    fun run(
+        jobs: Int,
+        timeout: Duration,
+    ): Int {
+        val address = platform.start()
+        val settings = (1..PROCESSES).map { settings("vm-$it", address) }
+        settings.mapTo(processes) { CellProcess(it, ports(it), clock).apply { start() } }
+        val deadline = clock.instant().plus(timeout)
+        val ids = (1..jobs).map { "%016x".format(it) }
+        val callers = settings.map { CallerStandIn(http, it.callers.port) }
+        val accepted = HashSet<String>()
+        val completed = HashSet<String>()
+        while (completed.size < jobs && clock.instant().isBefore(deadline)) {
+            ids.forEachIndexed { index, id ->
+                val caller = callers[index % callers.size]
+                if (id !in accepted && caller.submit(id)) accepted += id
+                if (id in accepted && caller.isCompleted(id)) completed += id
+            }
+            Thread.sleep(POLL_MILLIS)
+        }
+        callers.forEach { it.countPending() }
+        callers.last().cancel(ids.last())
+        return completed.size
+    }
+
+    private fun settings(
+        vm: String,
+        platform: String,
+    ) = CellSettings(
+        vm = vm,
+        region = "region",
+        failureDomain = "domain",
+        cores = 1.0,
+        regions = persistentMapOf("domain" to "region"),
+        callers = freeAddress(),
+        probes = freeAddress(),
+        operators = freeAddress(),
+        peers = freeAddress(),
+        store = platform,
+        advice = platform,
+        shards = 1,
+        stopGrace = Duration.ofMillis(1),
+        limits = CellLimits(),
+        logLinesPerSecond = LOG_LINES,
+    )
+
+    /** An address that nothing listens at when it is returned. */
+    private fun freeAddress(): ListenAddress =
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { ListenAddress("127.0.0.1", it.localPort) }
+
+    override fun close() {
+        processes.forEach { it.stop() }
+        http.close()
+        platform.close()
+    }
+
+    private companion object {
+        const val PROCESSES = 2
+        const val POLL_MILLIS = 20L
+        const val LOG_LINES = 100
+    }
+}
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/logging/LogConfiguration.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/logging/LogConfiguration.kt
@@ -3,10 +3,10 @@
 import ch.qos.logback.classic.AsyncAppender
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.LoggerContext
-import ch.qos.logback.classic.encoder.PatternLayoutEncoder
 import ch.qos.logback.classic.spi.Configurator
 import ch.qos.logback.classic.spi.ILoggingEvent
 import ch.qos.logback.core.ConsoleAppender
+import ch.qos.logback.core.encoder.LayoutWrappingEncoder
 import ch.qos.logback.core.spi.ContextAwareBase
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
@@ -36,9 +36,9 @@
             context = logger
             name = "text"
             encoder =
-                PatternLayoutEncoder().apply {
+                LayoutWrappingEncoder<ILoggingEvent>().apply {
                     context = logger
-                    pattern = PATTERN
+                    layout = LineLayout().also { it.context = logger }
                     start()
                 }
             start()
@@ -59,7 +59,6 @@
 
     public companion object {
         private const val FILE_PROPERTY = "logback.configurationFile"
-        private const val PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX,UTC} %-5level %logger: %msg%n"
 
         /** Several seconds of the budget of the decision log. */
         private const val QUEUED_LINES = 4_096
