Leave tasks alone that are only slow

Cause: a run that stayed at one percentage for 3.5 s was taken as stuck, stopped and started elsewhere. A task of more than 350 s, or a shorter one on a slow upstream, needs longer for each percent and was moved for ever.

Change: the patience is three times what one percent takes, by the estimate or by the measured pace, and doubles with each run of the task that was taken as stuck.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -130,6 +130,9 @@
     /** Runs that ended without completing their task. */
     var repeats = 0
 
+    /** Runs of each task that were stopped because they did not progress. */
+    val stuckRuns = HashMap<Int, Int>()
+
     val isDone: Boolean get() = done.cardinality() == spec.tasks
 
     /** True once all steps that this one depends on are done. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunReview.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunReview.kt
@@ -35,13 +35,38 @@
         return !step.spec.longRunning &&
             run.percent < Run.COMPLETE_PERCENT &&
             run.upstream.failedLooks == 0 &&
-            run.upstream.seenAt?.isAfter(run.progressedAt.plus(limits.stuckAfter)) == true
+            run.upstream.seenAt?.isAfter(run.progressedAt.plus(patience(run, step))) == true
+    }
+
+    /**
+     * How long [run] may stay at one percentage.
+     *
+     * A long task, or one on a slow upstream, needs seconds for each percent. One whose length nobody knows is given
+     * twice the time after each run of it that was taken as stuck.
+     */
+    private fun patience(
+        run: Run,
+        step: StepRun,
+    ): Duration {
+        val estimated = step.spec.estimate.dividedBy(WHOLE)
+        val measured =
+            if (run.percent > 0) {
+                Duration.between(run.startedAt, run.progressedAt).dividedBy(run.percent.toLong())
+            } else {
+                Duration.ZERO
+            }
+        val forOnePercent = maxOf(estimated, measured).multipliedBy(PERCENTS_WITHOUT_PROGRESS)
+        val doublings = minOf(step.stuckRuns[run.task.index] ?: 0, MOST_DOUBLINGS)
+        return maxOf(limits.stuckAfter, forOnePercent).multipliedBy(1L shl doublings)
     }
 
     private fun stuck(run: Run) {
         state.decided("run-stuck", run.task, "run ${run.number} on ${run.upstream} stays at ${run.percent}%")
         run.upstream.failed(state.now, limits)
-        run.step?.failedOn?.add(run.upstream)
+        run.step?.let {
+            it.failedOn.add(run.upstream)
+            it.stuckRuns.merge(run.task.index, 1, Int::plus)
+        }
         runs.stop(run)
     }
 
@@ -58,4 +83,14 @@
             runs.stopAll(step)
         }
     }
+
+    private companion object {
+        const val WHOLE = 100L
+
+        /** A run that needs three times as long for a percent as for the ones before is stuck. */
+        const val PERCENTS_WITHOUT_PROGRESS = 3L
+
+        /** With 3.5 s at first, the longest patience is about four minutes. */
+        const val MOST_DOUBLINGS = 6
+    }
 }
