Ask for a successor when the store rejects the owner, and tell peers of new owners

Processes that the store rejects as well learned of a new owner only when the rejections ended: two of the three VMs of a region refused callers for 8 s.

Change: after two rejections in a row the owner asks its peers; each that reads the store claims, and the condition of the append decides. Claims pass from process to process beside the store. A process counts as cut off also while the store shows that the owner lives, or while that owner says that it owns the shard no more. Submissions of callers with less than 75 ms left are refused, not sent. Refusals and unknown outcomes at the entry are logged with the job's id.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ClaimAppends.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ClaimAppends.kt
@@ -32,6 +32,8 @@
         /** The append may be in the log or may be later; only a read tells. */
         class Unproven(
             val append: Open,
+            /** True if the store rejected the last copy. */
+            val isRejected: Boolean,
         ) : Ended
     }
 
@@ -75,6 +77,9 @@
         val isOver = result == ClaimAppend.Appended || result == ClaimAppend.Conflict || append.unansweredCopies == 0
         if (!isOver) return null
         open = null
-        return if (result == ClaimAppend.Appended) Ended.Took(append) else Ended.Unproven(append)
+        return when (result) {
+            ClaimAppend.Appended -> Ended.Took(append)
+            else -> Ended.Unproven(append, isRejected = result == ClaimAppend.Rejected)
+        }
     }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ClaimEffect.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ClaimEffect.kt
@@ -37,6 +37,11 @@
         val at: Instant,
     ) : ClaimEffect
 
+    /** The store rejects this owner; ask the other processes to claim the shard if it serves them. */
+    public data class AskForSuccessor(
+        val token: Long,
+    ) : ClaimEffect
+
     /** This process does not own the shard any more. */
     public data class Lost(
         val reason: String,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ClaimLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ClaimLimits.kt
@@ -11,6 +11,8 @@
     val silence: Duration = Duration.ofMillis(1_250),
     /** The same if the connection to the owner broke, as that of a dead process does; a reset one is back by then. */
     val silenceAfterLinkLoss: Duration = Duration.ofMillis(750),
+    /** Rejections of a claim in a row after which an owner asks for a successor; they are [retry] apart. */
+    val rejectionsBeforeSuccessor: Int = 2,
     /** Shortest time after which an append without an answer is sent again on another connection. */
     val appendAgain: Duration = Duration.ofMillis(450),
     /** Shortest time that a read waits for a record. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
@@ -32,6 +32,9 @@
     private var nextReadAt: Instant = Instant.MIN
     private val appends = ClaimAppends(limits.appendAgain)
 
+    /** Appends in a row that the store rejected. */
+    private var rejections = 0
+
     /** When an append was sent that may be in the log although it was not answered so. */
     private var unprovenSince: Instant? = null
     private var nextAppendAt: Instant = Instant.MIN
@@ -53,6 +56,10 @@
     /** The newest claim that is not released. */
     public val owner: ClaimRecord? get() = newest?.takeIf { !it.released }
 
+    /** True if another process owns the shard and has renewed its claim a moment before [now]. */
+    public fun hearsOwner(now: Instant): Boolean =
+        owner != null && token == null && readsStore && now.isBefore(newsAt.plus(limits.silence))
+
     /** The newest claim was read together with the end of the log. */
     public fun newestRead(
         endOffset: Long,
@@ -123,10 +130,34 @@
                     unprovenSince = ended.append.sentAt
                     nextAppendAt = now.plus(limits.retry)
                     mustRead = true
+                    if (ended.isRejected) rejected() else rejections = 0
                 }
             }
         }
 
+    /** A store that rejects one process may serve the others. */
+    private fun rejected() {
+        rejections++
+        val held = token ?: return
+        if (rejections >= limits.rejectionsBeforeSuccessor) effects += ClaimEffect.AskForSuccessor(held)
+    }
+
+    /** Another process told of [record]; one that the store rejects learns of a new owner in this way only. */
+    public fun told(
+        record: ClaimRecord,
+        now: Instant,
+    ): List<ClaimEffect> = turn(now) { if (record.token > (newest?.token ?: NO_TOKEN)) take(record, now) }
+
+    /** The owner under [ofToken] asked for a successor; the condition of the append shows whether it still is the owner. */
+    public fun successorWanted(
+        ofToken: Long,
+        now: Instant,
+    ): List<ClaimEffect> =
+        turn(now) {
+            val mayClaim = token == null && !releasing && readsStore && !mustRead && !isSmaller()
+            if (mayClaim && newest?.token == ofToken) claim(now)
+        }
+
     private fun appendTook(
         append: ClaimAppends.Open,
         now: Instant,
@@ -134,6 +165,7 @@
         // A read may have returned the record before its append was answered.
         end = maxOf(append.effect.at + 1, end ?: 0)
         take(append.effect.record, now)
+        rejections = 0
         effects += ClaimEffect.Confirmed(append.sentAt)
         nextAppendAt = append.sentAt.plus(limits.renewal)
     }
@@ -325,4 +357,9 @@
         token = null
         effects += ClaimEffect.Lost(reason)
     }
+
+    private companion object {
+        /** Below every token. */
+        const val NO_TOKEN = -1L
+    }
 }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/ownership/ShardClaimTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/ownership/ShardClaimTest.kt
@@ -36,6 +36,9 @@
             var alive = true
             var reachesStore = true
             var losesAppendAnswers = false
+
+            /** The store rejects what this process appends. */
+            var isRejected = false
             val acquired = ArrayList<ClaimEffect.Acquired>()
 
             /** Address of the owner as the process was told last. */
@@ -60,6 +63,10 @@
                     is ClaimEffect.Append ->
                         call({ claim.appended(effect.number, ClaimAppend.Unanswered, now) }) { append(effect) }
                     is ClaimEffect.Acquired -> acquired += effect
+                    is ClaimEffect.AskForSuccessor ->
+                        (members.values - this).filter { it.alive }.forEach { peer ->
+                            after(delay) { peer.perform(peer.claim.successorWanted(effect.token, now)) }
+                        }
                     is ClaimEffect.OwnerChanged -> toldOwner = effect.owner?.address
                     else -> Unit
                 }
@@ -79,6 +86,7 @@
             }
 
             private fun append(effect: ClaimEffect.Append) {
+                if (isRejected) return answer { claim.appended(effect.number, ClaimAppend.Rejected, now) }
                 val took = effect.at == log.size.toLong()
                 if (took) log += effect.record
                 val result =
@@ -374,4 +382,67 @@
         world.run(Duration.ofMillis(2_500))
         expectThat(world.owners()).hasSize(1)
     }
+
+    /** Guards against a cell that waits for the silence of an owner which knows that it cannot renew its claim. */
+    @Test
+    fun `an owner that the store rejects is replaced at once by one that it serves`() {
+        val world = ClaimWorld()
+        listOf("a", "b", "c").forEach { world.add(it) }
+        world.run(second.multipliedBy(5))
+        val owner = world.owners().single()
+        owner.isRejected = true
+        world.run(Duration.ofMillis(900))
+        val others = world.owners() - owner
+        expectThat(others).hasSize(1)
+        world.run(second.multipliedBy(2))
+        expectThat(owner.claim.token).isEqualTo(null)
+    }
+
+    /** Guards against a needless takeover while the store rejects everybody. */
+    @Test
+    fun `an owner stays the owner if the store rejects all processes`() {
+        val world = ClaimWorld()
+        listOf("a", "b", "c").forEach { world.add(it) }
+        world.run(second.multipliedBy(5))
+        val owner = world.owners().single()
+        world.members.values.forEach { it.isRejected = true }
+        world.run(second)
+        world.members.values.forEach { it.isRejected = false }
+        world.run(second.multipliedBy(2))
+        expectThat(world.owners()).containsExactly(owner)
+    }
+
+    /** Guards against processes that send callers to an earlier owner for as long as the store rejects them. */
+    @Test
+    fun `a process that cannot read the store learns of a new owner from its peers`() {
+        val world = ClaimWorld()
+        val members = listOf("a", "b", "c").map { world.add(it) }
+        world.run(second.multipliedBy(5))
+        val owner = world.owners().single()
+        val cutOff = members.first { it != owner }
+        cutOff.reachesStore = false
+        // A read that had reached the store before is still answered.
+        world.run(second.multipliedBy(3))
+        owner.isRejected = true
+        world.run(second.multipliedBy(3))
+        val successor = world.owners().single { it != owner }
+        expectThat(cutOff.toldOwner).isEqualTo(owner.name)
+        val claim = world.log.last()
+        cutOff.perform(cutOff.claim.told(claim, world.now))
+        expectThat(cutOff.toldOwner).isEqualTo(successor.name)
+    }
+
+    /** Guards against an owner that goes on with its orders although a peer knows of its successor. */
+    @Test
+    fun `an owner that is told of a later claim acts no more, and ignores earlier ones`() {
+        val world = ClaimWorld()
+        val owner = world.add("a")
+        world.run(second.multipliedBy(3))
+        val earlier = ClaimRecord("b", 1, 0)
+        owner.perform(owner.claim.told(earlier, world.now))
+        expectThat(owner.claim.token).isNotEqualTo(null)
+        owner.perform(owner.claim.told(ClaimRecord("b", 1, 1_000), world.now))
+        expectThat(owner.claim.token).isEqualTo(null)
+        expectThat(owner.toldOwner).isEqualTo("b")
+    }
 }
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/CellMessage.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/CellMessage.kt
@@ -52,6 +52,22 @@
         val good: List<Ticket>?,
     ) : CellMessage
 
+    /** The owner of [shard] under [token] is rejected by the store and asks for a successor. */
+    @Serializable
+    @SerialName("successor_wanted")
+    public data class SuccessorWanted(
+        val shard: Int,
+        val token: Long,
+    ) : CellMessage
+
+    /** The newest claim of [shard] that the sender knows; the receiver may be cut off from the store that holds it. */
+    @Serializable
+    @SerialName("claimed")
+    public data class Claimed(
+        val shard: Int,
+        val claim: ClaimRecord,
+    ) : CellMessage
+
     /** Orders that the receiver carries out for the owner; answered by [Reports]. */
     @Serializable
     @SerialName("orders")
@@ -68,7 +84,7 @@
 
     public companion object {
         /** Version of these messages; processes of another version are not talked to. */
-        public const val PROTOCOL_VERSION: Int = 2
+        public const val PROTOCOL_VERSION: Int = 3
     }
 }
 
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellParts.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellParts.kt
@@ -11,6 +11,7 @@
 import org.anvilbarrow.kernel.jobs.CellLimits
 import org.anvilbarrow.kernel.ownership.ClaimLimits
 import org.anvilbarrow.protocol.jobs.CellMember
+import org.anvilbarrow.protocol.jobs.CellMessage
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.Ticket
 import java.time.Duration
@@ -63,4 +64,7 @@
         call: CallKey,
         answer: JobAnswer,
     )
+
+    /** Sends [message] to every connected process. */
+    fun tellPeers(message: CellMessage)
 }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
@@ -37,6 +37,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicLongArray
 
 private val log = KotlinLogging.logger("anvilbarrow.process")
 
@@ -76,7 +77,12 @@
     private val dispatch = OrderDispatch(address, ports.upstreams, clock, ::post, mesh::send)
     private val relay = OrderRelay(ports.upstreams, ::post, mesh::send)
     private val reachability = Reachability(settings.shards)
-    private val gateway = OwnerGateway(settings.shards, clock, { config }, reachability::isCutOff, ::forward)
+    private val decisions = DecisionLog(settings.logLinesPerSecond)
+
+    /** Token of each owner that said, when it was last asked, that it owns the shard no more; 0 if none did. */
+    private val disowned = AtomicLongArray(settings.shards)
+    private val gateway =
+        OwnerGateway(settings.shards, clock, { config }, decisions, reachability::isCutOff, ::heard, ::forward)
     private val openAdvice = HashMap<Long, (List<Ticket>?) -> Unit>()
     private val lastAdvice = AtomicLong()
 
@@ -99,6 +105,8 @@
                     mesh.send(call.origin, CellMessage.Reply(call.number, answer))
                 }
             }
+
+            override fun tellPeers(message: CellMessage) = mesh.connected.forEach { mesh.send(it, message) }
         }
     private val parts =
         CellParts(
@@ -112,7 +120,7 @@
             dispatch,
             ports.catalog,
             ::advise,
-            DecisionLog(settings.logLinesPerSecond),
+            decisions,
             settings.limits,
             ClaimLimits(),
             view,
@@ -158,12 +166,12 @@
         control.post { seats.forEach { it.release(clock.instant()) } }
         // Probes fail from now on; new connections still arrive until the balancer has missed two of them.
         TimeUnit.MILLISECONDS.sleep(minOf(DRAIN, settings.stopGrace.dividedBy(2)).toMillis())
-        front.stop(settings.stopGrace.dividedBy(GRACE_PARTS))
+        val complete = front.stop(settings.stopGrace.dividedBy(GRACE_PARTS))
         operations.stop(Duration.ofMillis(1))
         control.close()
         mesh.close()
-        log.info { "event=stopped vm=${settings.vm}" }
-        return true
+        log.info { "event=stopped vm=${settings.vm} complete=$complete" }
+        return complete
     }
 
     /** The settings file changed; settings take effect at the next start. */
@@ -176,7 +184,7 @@
             dispatch.tick()
             seats.forEachIndexed { shard, seat ->
                 seat.tick(now)
-                reachability.review(shard, reaches(shard), seat.readsStore, now)
+                reachability.review(shard, owners[shard]?.address, reaches(shard), seat.expectsOwner(now), now)
             }
             gateway.resend { shard -> owners[shard]?.address }
             tickLater()
@@ -199,11 +207,17 @@
             else -> null
         }
 
+    /** An owner that is cut off from the store together with this process knows before it that it was replaced. */
     private fun reaches(shard: Int): Boolean {
-        val owner = owners[shard]?.address ?: return false
-        return owner == address || owner in mesh.connected
+        val owner = owners[shard]?.takeIf { it.token != disowned.get(shard) } ?: return false
+        return if (owner.address == address) seats[shard].isOwner else owner.address in mesh.connected
     }
 
+    private fun heard(
+        shard: Int,
+        isOwner: Boolean,
+    ): Unit = disowned.set(shard, if (isOwner) 0 else owners[shard]?.token ?: 0)
+
     private fun configured(records: List<KeyedRecord>) {
         val newest = records.mapNotNull(ports.catalog::config).maxByOrNull { it.version } ?: return
         if (newest.version <= (config?.version ?: -1)) return
@@ -268,6 +282,10 @@
                         CellEvent.Requested(CallKey(from, message.call), message.request),
                     )
                 }
+            is CellMessage.SuccessorWanted ->
+                control.post { seats.getOrNull(message.shard)?.successorWanted(message.token, clock.instant()) }
+            is CellMessage.Claimed ->
+                control.post { seats.getOrNull(message.shard)?.told(message.claim, clock.instant()) }
             is CellMessage.Reply -> gateway.answered(message.call, message.answer)
             is CellMessage.Advise ->
                 ports.advice
@@ -287,6 +305,7 @@
         control.post {
             val now = clock.instant()
             if (!up) dispatch.lost(address)
+            if (up) tellOwners(address)
             seats.forEach { it.helpersChanged(view.helpers) }
             owners.forEachIndexed { shard, owner ->
                 if (owner?.address == address) seats[shard].linkChanged(!up, now)
@@ -295,6 +314,9 @@
         }
     }
 
+    private fun tellOwners(peer: String): Unit =
+        owners.forEachIndexed { shard, owner -> owner?.let { mesh.send(peer, CellMessage.Claimed(shard, it)) } }
+
     private fun server(
         at: ListenAddress,
         handler: HttpHandler,
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/DecisionLog.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/DecisionLog.kt
@@ -9,7 +9,8 @@
 /**
  * Writes one line for each decision, within a budget of lines for each kind.
  *
- * Lines above the budget are counted and the count is written, so that a burst neither floods the log nor hides.
+ * Lines above the budget are counted and the count is written, so that a burst neither floods the log nor hides. Used on
+ * any thread.
  */
 internal class DecisionLog(
     private val linesPerSecond: Int,
@@ -23,6 +24,7 @@
     private val budgets = HashMap<String, Budget>()
     private var second: Instant = Instant.MIN
 
+    @Synchronized
     fun write(
         kind: String,
         subject: String,
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
@@ -26,8 +26,11 @@
     private val shards: Int,
     private val clock: InstantSource,
     private val currentConfig: () -> CellConfig?,
-    /** True while this process reaches neither the owner of a shard nor the store that would name another one. */
+    private val decisions: DecisionLog,
+    /** True while this process does not reach the owner of a shard and no other owner is going to come. */
     private val isCutOff: (shard: Int) -> Boolean = { false },
+    /** Told whether a process that was taken for the owner of a shard says that it is. */
+    private val onHeard: (shard: Int, isOwner: Boolean) -> Unit = { _, _ -> },
     /** Sends a request to the owner of a shard; returns the address it went to, or null if there is none. */
     private val send: (shard: Int, call: Long, request: JobRequest) -> String?,
 ) : JobGateway {
@@ -108,7 +111,24 @@
         val problem = (request as? JobRequest.Submit)?.let(SubmissionCheck::problemOf)
         if (problem != null) return JobAnswer.Invalid(problem)
         val job = jobOf(request) ?: return pending(request, wait)
-        return await(listOf(begin(shardOf(job), request)), wait).first()
+        if (request is JobRequest.Submit && wait < LEAST_WAIT) {
+            return JobAnswer.Refused("the caller leaves in $wait, before it could be told", 0).also { log(job, it) }
+        }
+        val shard = shardOf(job)
+        if (isCutOff(shard)) return cutOff(shard).also { log(job, it) }
+        return await(listOf(begin(shard, request)), wait).first().also { log(job, it) }
+    }
+
+    /** Answers that leave a caller without its job; all others are logged by the owner. */
+    private fun log(
+        job: JobId,
+        answer: JobAnswer,
+    ) {
+        when (answer) {
+            is JobAnswer.Refused -> decisions.write("request-refused", "$job", answer.reason, clock.instant())
+            is JobAnswer.Unknown -> decisions.write("request-unknown", "$job", answer.reason, clock.instant())
+            else -> Unit
+        }
     }
 
     private fun jobOf(request: JobRequest): JobId? =
@@ -176,7 +196,6 @@
         start: Instant,
         deadline: Instant,
     ): JobAnswer {
-        if (isCutOff(call.shard) && call.closeIfUnsent()) return cutOff(call)
         var until = start.plus(OWNER_WAIT)
         while (until.isBefore(deadline)) {
             answer(call, until)?.let { return it }
@@ -192,8 +211,7 @@
         JobAnswer.Refused("no owner of shard ${call.shard} is connected", RETRY_AFTER.toMillis())
 
     /** Another process may well reach the owner, so the caller need not wait before it asks one. */
-    private fun cutOff(call: OpenCall) =
-        JobAnswer.Refused("neither the owner of shard ${call.shard} nor the store can be reached", 0)
+    private fun cutOff(shard: Int) = JobAnswer.Refused("this process is cut off from the owner of shard $shard", 0)
 
     /** Waits for the answer until [deadline]; returns null if there is none. */
     private fun answer(
@@ -217,7 +235,9 @@
         number: Long,
         answer: JobAnswer,
     ) {
-        open[number]?.answered(answer)
+        val call = open[number] ?: return
+        onHeard(call.shard, answer != JobAnswer.NotOwner)
+        call.answered(answer)
     }
 
     /** Sends calls again whose owner changed, left or did not answer. */
@@ -241,6 +261,9 @@
          */
         val OWNER_WAIT: Duration = Duration.ofMillis(1_400)
 
+        /** An answer of an owner in another region takes 60 ms on the way and 10 ms at the store. */
+        val LEAST_WAIT: Duration = Duration.ofMillis(75)
+
         /** After [OWNER_WAIT], processes are still starting or cut off; the header counts whole seconds. */
         val RETRY_AFTER: Duration = Duration.ofSeconds(1)
     }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/Reachability.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/Reachability.kt
@@ -8,33 +8,36 @@
  * Knows whether this process is cut off from the owner of each shard.
  *
  * It answers a VM that a network fault separates from the rest of the cell while callers still reach it: such a process
- * cannot serve them, and cannot learn of another owner as it does not reach the store either. Reviewed on the control
- * thread, asked on any thread.
+ * cannot serve them, and no other owner is going to come. Reviewed on the control thread, asked on any thread.
  */
 internal class Reachability(
     shards: Int,
 ) {
-    private val lostSince = arrayOfNulls<Instant>(shards)
+    private class Loss(
+        val owner: String?,
+        val since: Instant,
+    )
+
+    private val losses = arrayOfNulls<Loss>(shards)
     private val cutOff = AtomicIntegerArray(shards)
 
-    /** Takes in whether the owner of [shard] is connected and whether the store can be read. */
+    /**
+     * Takes in whether the [owner] of [shard] is connected, and whether the store lets this process expect another one.
+     */
     fun review(
         shard: Int,
-        reachesOwner: Boolean,
-        readsStore: Boolean,
+        owner: String?,
+        isConnected: Boolean,
+        expectsOwner: Boolean,
         now: Instant,
     ) {
-        if (reachesOwner) {
-            lostSince[shard] = null
-            cutOff.set(shard, 0)
-            return
-        }
-        val since = lostSince[shard] ?: now.also { lostSince[shard] = it }
-        val isCutOff = !readsStore && Duration.between(since, now) > TAKEOVER
+        val loss = if (isConnected) null else losses[shard]?.takeIf { it.owner == owner } ?: Loss(owner, now)
+        losses[shard] = loss
+        val isCutOff = loss != null && !expectsOwner && Duration.between(loss.since, now) > TAKEOVER
         cutOff.set(shard, if (isCutOff) 1 else 0)
     }
 
-    /** True while neither the owner of [shard] nor the store is reached, for longer than a takeover takes. */
+    /** True while the owner of [shard] has not been reached for longer than a takeover takes, and none is under way. */
     fun isCutOff(shard: Int): Boolean = cutOff.get(shard) == 1
 
     private companion object {
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardSeat.kt
@@ -17,6 +17,7 @@
 import org.anvilbarrow.kernel.ownership.ClaimEffect
 import org.anvilbarrow.kernel.ownership.ShardClaim
 import org.anvilbarrow.protocol.jobs.CellMember
+import org.anvilbarrow.protocol.jobs.CellMessage
 import org.anvilbarrow.protocol.jobs.ClaimRecord
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.KeyedRecord
@@ -62,8 +63,8 @@
 
     val isOwner: Boolean get() = claim.token != null
 
-    /** False while the store cannot be read. */
-    val readsStore: Boolean get() = claim.readsStore
+    /** True if the store can be read and shows no owner that lives, so that another one will come. */
+    fun expectsOwner(now: Instant): Boolean = claim.readsStore && !claim.hearsOwner(now)
 
     /** Figures of the owner for metrics, or null. */
     val owned: Cell? get() = cell
@@ -82,6 +83,16 @@
         now: Instant,
     ): Unit = perform(claim.linkChanged(lost, now))
 
+    fun successorWanted(
+        ofToken: Long,
+        now: Instant,
+    ): Unit = perform(claim.successorWanted(ofToken, now))
+
+    fun told(
+        record: ClaimRecord,
+        now: Instant,
+    ): Unit = perform(claim.told(record, now))
+
     fun configured(config: CellConfig) {
         if (cell != null) events += CellEvent.Configured(config)
     }
@@ -124,6 +135,7 @@
             cell != null -> events += event
             // The takeover ends within the time that callers wait.
             isOwner && early.size < MAX_EARLY -> early += event
+            isOwner -> parts.process.answer(event.call, TOO_MANY_EARLY)
             else -> parts.process.answer(event.call, JobAnswer.NotOwner)
         }
     }
@@ -175,11 +187,16 @@
             is ClaimEffect.Append -> append(effect)
             is ClaimEffect.Acquired -> acquired(effect.token, effect.earlierOwnersEnded)
             is ClaimEffect.Confirmed -> confirmed(effect.at)
+            is ClaimEffect.AskForSuccessor -> {
+                log.warn { "event=successor-wanted shard=$shard token=${effect.token}" }
+                parts.process.tellPeers(CellMessage.SuccessorWanted(shard, effect.token))
+            }
             is ClaimEffect.Lost -> lost(effect.reason)
             is ClaimEffect.OwnerChanged -> {
                 log.info {
                     "event=owner-changed shard=$shard owner=${effect.owner?.address} token=${effect.owner?.token}"
                 }
+                effect.owner?.let { parts.process.tellPeers(CellMessage.Claimed(shard, it)) }
                 onOwner(effect.owner)
             }
         }
@@ -319,5 +336,6 @@
 
         /** Requests that wait for the end of a takeover. */
         const val MAX_EARLY = 2_000
+        val TOO_MANY_EARLY = JobAnswer.Refused("$MAX_EARLY requests wait for the end of a takeover", 1_000)
     }
 }
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
@@ -8,6 +8,7 @@
 import org.anvilbarrow.protocol.model.Resources
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
@@ -29,8 +30,11 @@
 
     @Volatile
     private var cutOff = false
+    private val heard = CopyOnWriteArrayList<Boolean>()
     private val gateway =
-        OwnerGateway(2, InstantSource.system(), { null }, { cutOff }) { _, call, _ ->
+        OwnerGateway(2, InstantSource.system(), {
+            null
+        }, DecisionLog(1) { }, { cutOff }, { _, owns -> heard += owns }) { _, call, _ ->
             owner?.also { sent += call }
         }
     private val status = JobRequest.Status(JobId("5c0e7a21d94b36f8"), "q")
@@ -117,6 +121,8 @@
         owner = null
         gateway.answered(sent.first(), JobAnswer.NotOwner)
         expectThat(answer.join()).isA<JobAnswer.Refused>()
+        // A process that goes on sending callers to it would hold each of them.
+        expectThat(heard).containsExactly(false)
     }
 
     /** Guards against a refusal that says "not run" while a second copy of the request is accepted and runs. */
@@ -154,6 +160,15 @@
         expectThat(sent).isEmpty()
     }
 
+    /** Guards against a job that is accepted for a caller who cannot be told any more and gets an unknown outcome. */
+    @Test
+    fun `a submission whose caller leaves before an answer could arrive is refused and not sent`() {
+        val step = StepSpec(1, Resources(1_000, 1_000))
+        val submit = JobRequest.Submit(JobId("5c0e7a21d94b36f8"), "q", JobSpec("payload", listOf(step)))
+        expectThat(gateway.ask(submit, Duration.ofMillis(50))).isA<JobAnswer.Refused>()
+        expectThat(sent).isEmpty()
+    }
+
     @Test
     fun `pending jobs of all shards are added`() {
         val answer = ask(JobRequest.Pending("q"))
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/ShardSeatTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/ShardSeatTest.kt
@@ -16,6 +16,7 @@
 import org.anvilbarrow.kernel.jobs.UpstreamEntry
 import org.anvilbarrow.kernel.ownership.ClaimLimits
 import org.anvilbarrow.protocol.jobs.CellMember
+import org.anvilbarrow.protocol.jobs.CellMessage
 import org.anvilbarrow.protocol.jobs.ClaimRecord
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.KeyedRecord
@@ -110,6 +111,8 @@
             override val config: CellConfig? = null
             override val helpers: ImmutableList<CellMember> = persistentListOf(self)
 
+            override fun tellPeers(message: CellMessage) = Unit
+
             override fun answer(
                 call: CallKey,
                 answer: JobAnswer,
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/TestParts.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/TestParts.kt
@@ -16,6 +16,7 @@
 import org.anvilbarrow.kernel.jobs.UpstreamEntry
 import org.anvilbarrow.kernel.ownership.ClaimLimits
 import org.anvilbarrow.protocol.jobs.CellMember
+import org.anvilbarrow.protocol.jobs.CellMessage
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.KeyedRecord
 import java.time.Duration
@@ -64,6 +65,8 @@
         call: CallKey,
         answer: JobAnswer,
     ) = Unit
+
+    override fun tellPeers(message: CellMessage) = Unit
 }
 
 /** A store that answers appends when the test says so, on a controlled clock. */
