Give what is heard of an owner a class of its own

OwnerNews keeps when a claim was last read, whether the store can be read and whether the connection to the owner broke, and says when the owner counts as silent. No behaviour changes.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
@@ -19,15 +19,7 @@
 ) {
     private var end: Long? = null
     private var newest: ClaimRecord? = null
-    private var newsAt: Instant = Instant.MIN
-    private var linkLost = false
-
-    /** False from a read that failed to one that succeeds. */
-    public var readsStore: Boolean = true
-        private set
-
-    /** When a read succeeded again after one that failed. */
-    private var readableAgainAt: Instant = Instant.MIN
+    private val news = OwnerNews(limits)
     private var reading = false
     private var nextReadAt: Instant = Instant.MIN
     private val appends = ClaimAppends(limits.appendAgain)
@@ -57,8 +49,10 @@
     public val owner: ClaimRecord? get() = newest?.takeIf { !it.released }
 
     /** True if another process owns the shard and has renewed its claim a moment before [now]. */
-    public fun hearsOwner(now: Instant): Boolean =
-        owner != null && token == null && readsStore && now.isBefore(newsAt.plus(limits.silence))
+    public fun hearsOwner(now: Instant): Boolean = owner != null && token == null && news.isRecent(now)
+
+    /** False while the store cannot be read. */
+    public val readsStore: Boolean get() = news.readsStore
 
     /** The newest claim was read together with the end of the log. */
     public fun newestRead(
@@ -69,7 +63,7 @@
         turn(now) {
             readSucceeded(now)
             // Records between two reads are news, whatever they were.
-            if (endOffset != end) newsAt = now
+            if (endOffset != end) news.heard(now)
             end = endOffset
             record?.let { take(it, now) }
             if (newest == null) effects += ClaimEffect.OwnerChanged(null)
@@ -106,13 +100,12 @@
         turn(now) {
             reading = false
             nextReadAt = now.plus(limits.retry)
-            if (behind) end = null else readsStore = false
+            if (behind) end = null else news.readFailed()
         }
 
     private fun readSucceeded(now: Instant) {
         reading = false
-        if (!readsStore) readableAgainAt = now
-        readsStore = true
+        news.readSucceeded(now)
     }
 
     /** A copy of the append with [number] ended. */
@@ -174,7 +167,7 @@
     public fun linkChanged(
         lost: Boolean,
         now: Instant,
-    ): List<ClaimEffect> = turn(now) { linkLost = lost }
+    ): List<ClaimEffect> = turn(now) { news.isLinkLost = lost }
 
     /** Another part of the process found that a later owner exists. */
     public fun displaced(
@@ -184,7 +177,7 @@
         turn(now) {
             lose(reason)
             mustRead = true
-            newsAt = now
+            news.heard(now)
         }
 
     /** Gives the shard up in a planned stop, and claims nothing any more. */
@@ -243,17 +236,7 @@
     /** A read that returns empty after this time shows that the owner is silent. */
     private fun untilSilent(now: Instant): Duration = maxOf(limits.minReadWait, Duration.between(now, silentAt()))
 
-    /**
-     * When the owner counts as silent if there is no news until then.
-     *
-     * While nothing could be read, an owner that lives may have renewed its claim, or may not have been able to.
-     */
-    private fun silentAt(): Instant =
-        if (linkLost) {
-            newsAt.plus(limits.silenceAfterLinkLoss).plus(handicap())
-        } else {
-            maxOf(newsAt, readableAgainAt).plus(limits.silence).plus(handicap())
-        }
+    private fun silentAt(): Instant = news.silentAt().plus(handicap())
 
     private fun handicap(): Duration = if (isSmaller()) limits.smallerWait else Duration.ZERO
 
@@ -268,7 +251,7 @@
             releasing -> Unit
             isVacant() && !reading && isTurn(now) -> claim(now)
             // A read may wait for longer than the shorter silence; the condition of the append stands for its answer.
-            linkLost && isSilent(now) -> claim(now)
+            news.isLinkLost && isSilent(now) -> claim(now)
         }
     }
 
@@ -279,7 +262,7 @@
 
     /** A larger process gets the time to claim a vacant shard first. */
     private fun isTurn(now: Instant): Boolean =
-        newest == null || (!now.isBefore(newsAt.plus(handicap())) && !now.isBefore(noClaimBefore))
+        newest == null || (!now.isBefore(news.at.plus(handicap())) && !now.isBefore(noClaimBefore))
 
     private fun isSilent(now: Instant): Boolean = !now.isBefore(silentAt())
 
@@ -316,11 +299,11 @@
         record: ClaimRecord,
         now: Instant,
     ) {
-        newsAt = now
+        news.heard(now)
         val before = newest
         if (before != null && record.token < before.token) return
         newest = record
-        linkLost = linkLost && before?.token == record.token
+        news.isLinkLost = news.isLinkLost && before?.token == record.token
         val mine = isMine(record)
         when {
             mine && !record.released && token != record.token -> {
