Wait for the selector before a port counts as free

Ruled out: waiting for the threads, as the coroutine ends on another pool after they are shut down. Change: the selector runs under a job that is joined.

--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/PeerNetwork.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/peer/PeerNetwork.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.job
+import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
@@ -50,7 +51,8 @@
     private val threads = Executors.newFixedThreadPool(THREADS) { Thread(it, "peer").apply { isDaemon = true } }
     private val dispatcher = threads.asCoroutineDispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
-    private val selector = SelectorManager(dispatcher)
+    private val selectorJob = SupervisorJob()
+    private val selector = SelectorManager(dispatcher + selectorJob)
     private val links = peers.associate { it.id to OutgoingLink(it, hello, selector, traffic, limits) }
     private val incoming = AtomicInteger()
     private var listening: ServerSocket? = null
@@ -83,6 +85,10 @@
             }
         }
         selector.close()
+        // The port stays in use until the selector, which ends by itself, has let go of its channel.
+        val ended =
+            runBlocking { withTimeoutOrNull(limits.silence.toMillis()) { selectorJob.children.toList().joinAll() } }
+        if (ended == null) log.warn { "The selector still runs after ${limits.silence}; port $port may be in use." }
         threads.shutdown()
     }
 
--- a/adapters/src/test/kotlin/org/anvilbarrow/adapters/peer/PeerNetworkTest.kt
+++ b/adapters/src/test/kotlin/org/anvilbarrow/adapters/peer/PeerNetworkTest.kt
@@ -51,6 +51,12 @@
         expectThat(sendUntilReceived(sender)).isEqualTo(a to notice)
     }
 
+    /** Guards against a restarted process that finds its own port still in use. */
+    @Test
+    fun `the port is free once the network is closed`() {
+        repeat(RESTARTS) { network(b, ports[1], a, ports[0]).close() }
+    }
+
     /** Guards against one malformed frame that stops the reading of the others' messages. */
     @TestFactory
     fun `a malformed frame closes its connection and nothing else`() =
@@ -180,6 +186,7 @@
     }
 
     private companion object {
+        const val RESTARTS = 300
         const val WAIT_SECONDS = 5L
         const val SEND_INTERVAL_MILLIS = 100L
         const val MAX_SENDS = 80
