--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobAccount.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobAccount.kt
@@ -51,12 +51,18 @@
 
     /** Text for the decision log. */
     public fun format(): String =
-        "queue=$queue phase=$phase core_ms=${coreTime.toMillis()} took_ms=${took.toMillis()} " +
-            "objective_ms=${objective.toMillis()} " +
+        "queue=$queue phase=$phase $CORE=${coreTime.toMillis()} $TOOK=${took.toMillis()} " +
+            "$OBJECTIVE=${objective.toMillis()} " +
             DelayCause.entries.joinToString(" ") { "${it.key}=${delays.getValue(it).toMillis()}" } +
-            " work_ms=${work.toMillis()} repeats=$repeats"
+            " $WORK=${work.toMillis()} repeats=$repeats"
 
     public companion object {
+        private const val CORE = "core_ms"
+        private const val TOOK = "took_ms"
+        private const val OBJECTIVE = "objective_ms"
+        private const val WORK = "work_ms"
+        private val TIMES = DelayCause.entries.map { it.key } + listOf(CORE, TOOK, OBJECTIVE, WORK)
+
         /** Returns what [format] wrote, or null if [text] is something else. */
         public fun parse(text: String): JobAccount? {
             val fields =
@@ -64,21 +70,26 @@
                     it.substringBefore('=') to
                         it.substringAfter('=', missingDelimiterValue = "")
                 }
-            val delays =
-                DelayCause.entries.associateWith { cause -> fields.millis(cause.key) ?: return null }
+            val times =
+                TIMES
+                    .mapNotNull { key ->
+                        fields[key]?.toLongOrNull()?.let { key to Duration.ofMillis(it) }
+                    }.toMap()
+            val queue = fields["queue"]
+            val phase = JobPhase.entries.find { it.name == fields["phase"] }
+            val repeats = fields["repeats"]?.toIntOrNull()
+            if (times.size < TIMES.size) return null
+            if (queue == null || phase == null || repeats == null) return null
             return JobAccount(
-                queue = fields["queue"] ?: return null,
-                phase = JobPhase.entries.find { it.name == fields["phase"] } ?: return null,
-                coreTime = fields.millis("core_ms") ?: return null,
-                took = fields.millis("took_ms") ?: return null,
-                objective = fields.millis("objective_ms") ?: return null,
-                delays = delays,
-                work = fields.millis("work_ms") ?: return null,
-                repeats = fields["repeats"]?.toIntOrNull() ?: return null,
+                queue = queue,
+                phase = phase,
+                coreTime = times.getValue(CORE),
+                took = times.getValue(TOOK),
+                objective = times.getValue(OBJECTIVE),
+                delays = DelayCause.entries.associateWith { times.getValue(it.key) },
+                work = times.getValue(WORK),
+                repeats = repeats,
             )
         }
-
-        private fun Map<String, String>.millis(key: String): Duration? =
-            get(key)?.toLongOrNull()?.let(Duration::ofMillis)
     }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
@@ -141,7 +141,7 @@
         now: Instant,
     ): List<ClaimEffect> = turn(now) { if (record.token > (newest?.token ?: NO_TOKEN)) take(record, now) }
 
-    /** The owner under [ofToken] asked for a successor; the condition of the append shows whether it still is the owner. */
+    /** The owner under [ofToken] asked for a successor; the append shows whether it is still the owner. */
     public fun successorWanted(
         ofToken: Long,
         now: Instant,
