--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/DecisionLog.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/DecisionLog.kt
@@ -9,8 +9,8 @@
 /**
  * Writes one line for each decision, within a budget of lines for each kind.
  *
- * Lines above the budget are counted and the count is written, so that a burst neither floods the log nor hides. Used on
- * any thread.
+ * Lines above the budget are counted and the count is written, so that a burst neither floods the log nor hides.
+ * It is used on any thread.
  */
 internal class DecisionLog(
     private val linesPerSecond: Int,
