--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -30,7 +30,7 @@
     private val watch = UpstreamWatch(state, leases, runs, relays)
     private val dispatcher = Dispatcher(state, runs)
     private val evacuation = Evacuation(state, runs)
-    private val review = RunMonitor(state, runs)
+    private val monitor = RunMonitor(state, runs)
 
     init {
         watch.load(loaded)
@@ -114,7 +114,7 @@
     private fun tick() {
         relays.tick()
         jobs.tick()
-        review.tick()
+        monitor.tick()
         evacuation.tick()
         dispatcher.tick()
         watch.tick()
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
@@ -73,7 +73,7 @@
     }
 
     private companion object {
-        /** Bits for the runs under one token. With 24, tokens up to 2^29 stay below 2^53, where JSON is exact. */
+        /** Bits for the runs under one token. With 24, tokens up to 2^29 stay below 2^53, and JSON numbers exact. */
         const val RUN_BITS = 24
 
         /** Maximum number of relays that one upstream may have under one token. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -94,10 +94,7 @@
                 run.mayStartLate = false
                 if (run.status == Run.Status.STARTING) run.status = Run.Status.STARTED
             }
-            StartResult.Displaced if isFromEarlierCaller(
-                order,
-                run.upstream,
-            ) -> unanswered(run, "its relay has changed")
+            StartResult.Displaced if isFromEarlierRelay(order, run.upstream) -> unanswered(run, "its relay has changed")
             StartResult.Displaced -> state.displacedAt(order.upstream)
             is StartResult.NotStarted -> notStarted(run, result.reason)
             is StartResult.Unanswered -> unanswered(run, result.detail)
@@ -105,7 +102,7 @@
     }
 
     /** True if [order] was fenced by a later order of this owner, which a different process has sent. */
-    private fun isFromEarlierCaller(
+    private fun isFromEarlierRelay(
         order: UpstreamOrder,
         upstream: Upstream,
     ): Boolean = order.token < state.tokenFor(upstream)
@@ -179,7 +176,7 @@
                 // The resources are released only once the upstream reports the end of the run.
                 run.upstream.nextObservationAt = state.now
             }
-            StopResult.DISPLACED if isFromEarlierCaller(order, run.upstream) ->
+            StopResult.DISPLACED if isFromEarlierRelay(order, run.upstream) ->
                 run.nextOrderAt = state.now.plus(limits.orderRetry)
             StopResult.DISPLACED -> state.displacedAt(order.upstream)
             StopResult.OTHER_UPSTREAM, StopResult.UNANSWERED -> run.nextOrderAt = state.now.plus(limits.orderRetry)
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunMonitor.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunMonitor.kt
@@ -47,7 +47,7 @@
         run: Run,
         step: StepRun,
     ): Duration {
-        val estimated = step.spec.estimate.dividedBy(HUNDRED_PERCENT)
+        val estimated = step.spec.estimate.dividedBy(FULL_PERCENT)
         val measured =
             if (run.percent > 0) {
                 Duration.between(run.startedAt, run.progressedAt).dividedBy(run.percent.toLong())
@@ -88,7 +88,7 @@
     }
 
     private companion object {
-        const val HUNDRED_PERCENT = 100L
+        const val FULL_PERCENT = 100L
 
         /** A run is stuck if one percent takes three times as long as its average so far. */
         const val STUCK_FACTOR = 3L
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/ExtremeSubmissionTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/ExtremeSubmissionTest.kt
@@ -38,7 +38,7 @@
 
     /** Guards against capacity that is reserved for an urgent step which fits on no upstream. */
     @Test
-    fun `a patient step does not wait for a step that can never run`() {
+    fun `a step with laxity does not wait for a step that can never run`() {
         val queues =
             listOf(
                 queue("urgent", priority = 0, target = Duration.ofHours(1)),
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/account/OutcomeTable.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/account/OutcomeTable.kt
@@ -33,18 +33,18 @@
         }
     }
 
-    private fun add(account: JobLatencyBreakdown) {
-        val totals = totalsByQueue.getOrPut(account.queue, ::LinkedHashMap).getOrPut(outcome(account), ::Totals)
+    private fun add(breakdown: JobLatencyBreakdown) {
+        val totals = totalsByQueue.getOrPut(breakdown.queue, ::LinkedHashMap).getOrPut(outcome(breakdown), ::Totals)
         totals.jobs++
-        totals.coreSeconds += account.coreTime.toMillis() / MILLIS_PER_SECOND
+        totals.coreSeconds += breakdown.coreTime.toMillis() / MILLIS_PER_SECOND
     }
 
-    private fun outcome(account: JobLatencyBreakdown): String =
+    private fun outcome(breakdown: JobLatencyBreakdown): String =
         when {
-            account.phase != JobPhase.COMPLETED -> account.phase.name.lowercase()
-            account.isInTime -> "in time"
-            account.mainCause == DelayCause.BEYOND_ESTIMATE && account.repeats > 0 -> "late: runs repeated"
-            else -> "late: ${CAUSES.getValue(account.mainCause)}"
+            breakdown.phase != JobPhase.COMPLETED -> breakdown.phase.name.lowercase()
+            breakdown.isInTime -> "in time"
+            breakdown.mainCause == DelayCause.BEYOND_ESTIMATE && breakdown.repeats > 0 -> "late: runs repeated"
+            else -> "late: ${CAUSES.getValue(breakdown.mainCause)}"
         }
 
     /** Returns the table; within a queue, the outcome with the most core time comes first. */
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
@@ -112,11 +112,7 @@
         if (problem != null) return JobAnswer.Invalid(problem)
         val job = jobOf(request) ?: return pending(request, wait)
         if (request is JobRequest.Submit && wait < MIN_WAIT) {
-            return JobAnswer
-                .Refused(
-                    "the caller leaves in $wait, before it could be told",
-                    0,
-                ).also { log(job, it) }
+            return JobAnswer.Refused("the caller leaves in $wait, before it could be told", 0).also { log(job, it) }
         }
         val shard = shardOf(job)
         if (isCutOff(shard)) return cutOff(shard).also { log(job, it) }
