Let the larger processes of a region call its upstreams

Cause: calls to upstreams were spread over all processes in proportion to their cores. On grown sites 26 of 38 VMs have a third of a core; each made few calls, spent its time on loading and compiling the code for them, and answered them late. Change: the processes with most cores make all calls of their region until they have 40 upstreams for each core. Test: the case of 60 upstreams asserted the spread over small VMs. Weighed: in proportion to cores (before), largest first (now).

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -56,6 +56,10 @@
     val minRelayHold: Duration = Duration.ofMillis(3_500),
     /** An upstream moves if its relay has this many times the load of the best one. */
     val relayImbalanceRatio: Double = 1.5,
+    /** A process with a smaller share of the cores of the largest relay is used only if the others are busy. */
+    val relayCoreRatio: Double = 0.7,
+    /** Upstreams per core up to which the largest processes of a region make all calls there. */
+    val maxLoadPerCore: Double = 40.0,
     /** How long a new owner waits for a relay in an upstream's region. Other processes connect within 200 ms. */
     val relayWait: Duration = Duration.ofMillis(400),
     /** Cores that the owner reserves for its own decisions. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Relays.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Relays.kt
@@ -12,6 +12,9 @@
  * over the VMs in the upstream's region in proportion to their processors. One VM could decide every start but not make
  * every call: an owner with a third of a core may have several hundred upstreams.
  *
+ * VMs with few processors call upstreams only if the others have too many: calls are answered sooner by larger VMs, and
+ * a process that makes few calls spends most of its processor time on loading and compiling the code for them.
+ *
  * Each change of relay raises the fencing token for the upstream. No two processes share a token, and late calls of an
  * earlier relay have no effect.
  */
@@ -79,14 +82,20 @@
         val best = choose(upstream) ?: return null
         if (best.address == current.address) return null
         val farther = distance(upstream, current) > distance(upstream, best)
+        val smaller = current.cores < best.cores * limits.relayCoreRatio
         val busier = loadPerCore(current, 0) > loadPerCore(best, 1) * limits.relayImbalanceRatio
-        return best.takeIf { farther || busier }
+        return best.takeIf { farther || smaller || busier }
     }
 
     private fun choose(upstream: Upstream): CellMember? {
         val near = members.values.filter { distance(upstream, it) == 0 }
         if (near.isEmpty() && isStarting()) return null
-        return near.ifEmpty { members.values }.minByOrNull { loadPerCore(it, 1) }
+        val reachable = near.ifEmpty { members.values }
+        val mostCores = reachable.maxOfOrNull { it.cores } ?: return null
+        return reachable
+            .filter { it.cores >= mostCores * limits.relayCoreRatio && loadPerCore(it, 1) <= limits.maxLoadPerCore }
+            .ifEmpty { reachable }
+            .minByOrNull { loadPerCore(it, 1) }
     }
 
     /** True shortly after the claim, while the other processes connect to the new owner. */
