Admit callers by the API key of their workspace, and hold workspaces to their limits

Cause: nothing on the path of a job knew of workspaces. The process of the caller decides on the key by a configuration whose confirming read began less than 4.7 s ago, suspensions included; only the workspace's name travels on and is stored. The owner counts each run from its order to its certain end, bounds what it cannot see after a takeover, and plans within what is left. A step at its limit keeps no upstream free and asks for no advice. The configuration is read every second in place of two, and an unreadable newer version leaves the current one unconfirmed. JobWorld: an order that takes effect late ends with the life of the upstream that received it; before, it survived a restart, which no upstream does.

--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/TopicFollower.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/TopicFollower.kt
@@ -29,6 +29,10 @@
     /** Delay between two reads. */
     private val pollInterval: Duration,
     private val executor: DelayedExecutor,
+    /** Called before each read is sent. */
+    private val onReadBegins: () -> Unit = {},
+    /** Called when all records that existed at the start of the last read have been delivered. */
+    private val onCurrent: () -> Unit = {},
     private val onRecords: (records: List<KeyedRecord>, complete: Boolean) -> Unit,
 ) {
     private var running = false
@@ -51,6 +55,7 @@
 
     private fun poll(expected: Int) {
         if (!running || expected != generation) return
+        onReadBegins()
         when (val from = next) {
             null -> store.newest(topic, partition).thenAccept { executor.run(Duration.ZERO) { newest(expected, it) } }
             else ->
@@ -70,6 +75,7 @@
                 succeeded()
                 next = outcome.endOffset
                 onRecords(outcome.records, true)
+                onCurrent()
             }
             is NewestOutcome.Failed -> failed(outcome.detail)
         }
@@ -82,10 +88,13 @@
     ) {
         if (!running || expected != generation) return
         when (outcome) {
+            // A read from an offset beyond the end would not show the records that exist.
+            is ReadOutcome.Page if outcome.endOffset < outcome.nextOffset -> next = null
             is ReadOutcome.Page -> {
                 succeeded()
                 next = outcome.nextOffset
                 if (outcome.records.isNotEmpty()) onRecords(outcome.records, false)
+                if (outcome.nextOffset >= outcome.endOffset) onCurrent()
             }
             ReadOutcome.OffsetOutOfRange -> next = null
             is ReadOutcome.Failed -> failed(outcome.detail)
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/UpstreamCalls.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/UpstreamCalls.kt
@@ -35,6 +35,9 @@
     /** Topic of the upstreams; has a single partition, 0. */
     public val upstreamTopic: String
 
+    /** True if [record] is meant to hold a configuration, valid or not. */
+    public fun isConfig(record: KeyedRecord): Boolean
+
     /** Decodes a configuration, or returns null if [record] does not hold a valid one. */
     public fun config(record: KeyedRecord): CellConfig?
 
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/CellSettings.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/CellSettings.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.ImmutableMap
 import org.anvilbarrow.kernel.jobs.CellLimits
+import org.anvilbarrow.kernel.workspaces.AccessBounds
 import java.time.Duration
 
 /** Settings of a process that serves durable jobs. */
@@ -31,6 +32,8 @@
     /** Time between SIGTERM and SIGKILL. */
     val stopGrace: Duration,
     val limits: CellLimits,
+    /** Ages of a configuration up to which it decides on API keys. */
+    val accessBounds: AccessBounds,
     /** Lines of each kind that the decision log may write in a second. */
     val logLinesPerSecond: Int,
 )
--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/CellSettingsReader.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/CellSettingsReader.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.toPersistentMap
 import org.anvilbarrow.kernel.jobs.CellLimits
+import org.anvilbarrow.kernel.workspaces.AccessBounds
 import java.time.Duration
 
 /** Every key of the settings file of a process that serves durable jobs. */
@@ -48,6 +49,10 @@
         millis("cell", "max-lease", "10000", "Longest lease that upstreams accept.")
     internal val retention =
         seconds("cell", "retention", "120", "How long finished jobs can be asked for.", MAX_RETENTION_SECONDS)
+    internal val keyWithdrawal =
+        millis("cell", "key-withdrawal", "5000", "Time after which a withdrawn API key must not be accepted.")
+    internal val configApply =
+        millis("cell", "config-apply", "4000", "Time after which a configuration must be in force.")
     internal val logLines =
         number("logging", "lines-per-second", "lines", 20, 1..MAX_LINES, "Lines of each kind of decision.")
 
@@ -70,6 +75,8 @@
             regions,
             maxLease,
             retention,
+            keyWithdrawal,
+            configApply,
             logLines,
         )
 
@@ -160,7 +167,10 @@
                 limits.copy(
                     lease = minOf(limits.lease, known(ini.value(keys.maxLease))),
                     retention = known(ini.value(keys.retention)),
+                    shards = known(ini.value(keys.shards)),
                 ),
+            accessBounds =
+                AccessBounds.of(known(ini.value(keys.keyWithdrawal)), known(ini.value(keys.configApply))),
             logLinesPerSecond = known(ini.value(keys.logLines)),
         )
     }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -28,7 +28,8 @@
     private val outcomes = TaskOutcomes(state, jobs)
     private val runs: RunController = RunController(state, leases, outcomes, relays)
     private val watch = UpstreamWatch(state, leases, runs, relays)
-    private val dispatcher = Dispatcher(state, runs)
+    private val workspaceLimits = WorkspaceLimits(state, watch::unobserved)
+    private val dispatcher = Dispatcher(state, runs, workspaceLimits::unused)
     private val evacuation = Evacuation(state, runs)
     private val monitor = RunMonitor(state, runs)
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellConfig.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellConfig.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
+import org.anvilbarrow.kernel.workspaces.WorkspaceDirectory
 import org.anvilbarrow.protocol.jobs.FinishedJobsRecord
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.ProgressRecord
@@ -34,6 +35,8 @@
     val targetDuration: Duration,
     /** Terms of the advice service, or null if tasks of the queue may run on any upstream of the pool. */
     val advice: AdviceTerms? = null,
+    /** True if callers need no API key. */
+    val isPublic: Boolean = false,
 )
 
 /** Duration of a call to the advice service, and validity of its tickets. */
@@ -53,6 +56,8 @@
 public data class CellConfig(
     val version: Long,
     val queues: ImmutableMap<String, QueueConfig> = persistentMapOf(),
+    /** Workspaces that callers belong to, or null if no queue needs an API key. */
+    val workspaces: WorkspaceDirectory? = null,
 )
 
 /** An upstream as the platform lists it. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -5,6 +5,8 @@
 /** Timeouts, intervals and limits of a [Cell]. */
 @Suppress("MagicNumber") // The properties name the numbers.
 public data class CellLimits(
+    /** Number of shards of the cell; each gets an equal part of the limit of a workspace. */
+    val shards: Int = 1,
     /** Lease on running tasks. It outlasts a takeover (about 3 s) and is renewed every [observeWait]. */
     val lease: Duration = Duration.ofMillis(5_500),
     /** How long an upstream holds an observe request until a run ends (long polling). */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.kernel.workspaces.ResourceTotals
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.model.UpstreamId
@@ -18,6 +19,7 @@
     val jobs = LinkedHashMap<JobId, JobRun>()
     val upstreams = LinkedHashMap<UpstreamId, Upstream>()
     val finished = FinishedJobs()
+    val usage = WorkspaceUsage()
     val journal = Journal(finished) { jobs -= it.id }
 
     /** Steps with waiting tasks whose dependencies are done. */
@@ -59,6 +61,14 @@
 
     fun takeEffects(): List<CellEffect> = effects.also { effects = ArrayList() }
 
+    /** Returns the part of the limit of [workspace] that this shard may use, or null if there is no such workspace. */
+    fun limitOf(workspace: String): ResourceTotals? =
+        config
+            ?.workspaces
+            ?.get(workspace)
+            ?.limit
+            ?.dividedBy(limits.shards)
+
     fun queueOf(job: JobRun): QueueConfig? = config?.queues?.get(job.queue)
 
     /**
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.kernel.workspaces.ResourceTotals
 import org.anvilbarrow.protocol.jobs.Ticket
 import org.anvilbarrow.protocol.model.UpstreamId
 import java.time.Duration
@@ -8,6 +9,8 @@
 internal class Dispatcher(
     private val state: CellState,
     private val runs: RunController,
+    /** Returns what a workspace may still start, or null if it has no limit. */
+    private val unused: (workspace: String) -> ResourceTotals?,
 ) {
     private val limits get() = state.limits
     private val balancer = AdviceCallBalancer(limits)
@@ -76,20 +79,45 @@
         val listed = listed(pool)
         val targets = usable.map(::target)
         val rank = Ranking(state)
+        val budget = WorkspaceBudget(unused)
         val demands =
             steps.mapNotNull { step ->
                 val terms = rank.queueOf(step).advice
                 if (terms != null && step.advice.allowed.isEmpty()) {
-                    if (mayRequestAdvice(step)) requestAdvice(step, terms, selector.choose(step, targets, listed))
+                    // Tickets that lapse while the workspace is at its limit would only delay other steps.
+                    val isWithinLimit = budget.fitCount(step.job.workspace, step.spec.resources, 1) > 0
+                    if (isWithinLimit && mayRequestAdvice(step)) {
+                        requestAdvice(step, terms, selector.choose(step, targets, listed))
+                    }
                     null
                 } else {
                     demandOf(step, rank, terms != null)
                 }
             }
-        val plan = Planner(targets).plan(demands)
+        val plan = Planner(targets, budget).plan(demands)
+        recordLimited(demands, plan.limited)
         applyPlan(plan, rank, listed)
     }
 
+    /** Logs the steps that the limit of their workspace starts to hold back. */
+    private fun recordLimited(
+        demands: List<Demand>,
+        limited: Set<Demand>,
+    ) {
+        demands.forEach { demand ->
+            val isLimited = demand in limited
+            if (isLimited && !demand.step.isLimited) {
+                val workspace = checkNotNull(demand.workspace) { "${demand.step} is limited without a workspace" }
+                state.decided(
+                    "step-limited",
+                    demand.step,
+                    "workspace $workspace uses ${state.usage.usedBy(workspace)} of ${state.limitOf(workspace)}",
+                )
+            }
+            demand.step.isLimited = isLimited
+        }
+    }
+
     private fun target(upstream: Upstream): PlacementTarget {
         val entry = checkNotNull(upstream.entry) { "$upstream is usable without an entry" }
         return PlacementTarget(upstream.id, upstream.capacity, upstream.used, entry.labels, entry.rack)
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobController.kt
@@ -28,7 +28,7 @@
     ) {
         when (request) {
             is JobRequest.Submit -> submit(call, request)
-            is JobRequest.Status -> state.answer(call, status(request.job, request.queue))
+            is JobRequest.Status -> state.answer(call, status(request))
             is JobRequest.Cancel -> cancel(call, request)
             is JobRequest.Pending -> state.answer(call, pending(request.queue))
         }
@@ -44,6 +44,8 @@
         when {
             queue != request.queue ->
                 state.answer(call, JobAnswer.Invalid("job ${request.job} was handed in on another queue"))
+            !isVisibleTo(request, if (known != null) known.workspace else finished?.workspace) ->
+                state.answer(call, JobAnswer.Invalid("job id ${request.job} cannot be used"))
             known?.stored == true || (known == null && finished != null) -> state.answer(call, JobAnswer.Accepted)
             known != null -> awaitStored(call, known)
             else -> accept(call, request)
@@ -54,7 +56,7 @@
         call: CallKey,
         request: JobRequest.Submit,
     ) {
-        val invalid = SubmissionCheck.problemOf(request)
+        val invalid = SubmissionCheck.problemOf(request) ?: limitProblemOf(request)
         if (invalid != null) {
             state.decided("submission-invalid", request.job, invalid)
             return state.answer(call, JobAnswer.Invalid(invalid))
@@ -65,13 +67,28 @@
         if (state.jobs.size >= state.limits.maxOpenJobs) {
             return refuse(call, request.job, "${state.jobs.size} jobs are kept, which is the limit")
         }
-        val job = JobRun(request.job, SubmissionRecord(request.queue, request.spec, state.now.toEpochMilli()))
+        val job =
+            JobRun(
+                request.job,
+                SubmissionRecord(request.queue, request.spec, state.now.toEpochMilli(), request.workspace),
+            )
         state.jobs[job.id] = job
         state.journal.submitted(job)
         openDueOccurrences(job)
         awaitStored(call, job)
     }
 
+    private fun limitProblemOf(request: JobRequest.Submit): String? {
+        val limit = request.workspace?.let { state.limitOf(it) } ?: return null
+        return SubmissionCheck.limitProblemOf(request, limit)
+    }
+
+    /** Callers see the jobs of their own workspace and those that belong to none. */
+    private fun isVisibleTo(
+        request: JobRequest,
+        workspace: String?,
+    ): Boolean = workspace == null || request.workspace == null || workspace == request.workspace
+
     private fun refuse(
         call: CallKey,
         job: JobId,
@@ -97,12 +114,10 @@
         }
     }
 
-    private fun status(
-        id: JobId,
-        queue: String,
-    ): JobAnswer {
-        val job = state.jobs[id]?.takeIf { it.queue == queue }
-        val finished = state.finished[id]?.takeIf { it.queue == queue }
+    private fun status(request: JobRequest.Status): JobAnswer {
+        val id = request.job
+        val job = state.jobs[id]?.takeIf { it.queue == request.queue && isVisibleTo(request, it.workspace) }
+        val finished = state.finished[id]?.takeIf { it.queue == request.queue && isVisibleTo(request, it.workspace) }
         return when {
             // A final phase is not reported before it is stored, as a successor would not know it.
             job != null && job.stored -> JobAnswer.State(if (job.begun) JobPhase.RUNNING else JobPhase.QUEUED)
@@ -118,10 +133,12 @@
         call: CallKey,
         request: JobRequest.Cancel,
     ) {
-        val job = state.jobs[request.job]?.takeIf { it.queue == request.queue }
+        val job =
+            state.jobs[request.job]?.takeIf { it.queue == request.queue && isVisibleTo(request, it.workspace) }
         if (job == null) {
-            val ended = state.finished[request.job]?.queue == request.queue
-            return state.answer(call, if (ended) JobAnswer.Cancelled else JobAnswer.NotFound)
+            val ended = state.finished[request.job]
+            val isKnown = ended?.queue == request.queue && isVisibleTo(request, ended.workspace)
+            return state.answer(call, if (isKnown) JobAnswer.Cancelled else JobAnswer.NotFound)
         }
         if (!job.phase.isFinal) {
             state.decided("job-cancelled", job.id, "requested by ${call.origin}")
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -22,6 +22,9 @@
 ) {
     val spec: JobSpec get() = submission.spec
     val queue: String get() = submission.queue
+
+    /** Workspace whose limit and share the job counts against, or null. */
+    val workspace: String? get() = submission.workspace
     val acceptedAt: Instant = Instant.ofEpochMilli(submission.acceptedAtEpochMillis)
 
     /** Phase as decided; callers see a final phase only once it is stored. */
@@ -74,7 +77,14 @@
 
     /** Returns the record that is retained after the job has ended. */
     fun finished(): FinishedJob =
-        FinishedJob(id, queue, phase, checkNotNull(endedAt) { "job $id has not ended" }.toEpochMilli(), reason)
+        FinishedJob(
+            id,
+            queue,
+            phase,
+            checkNotNull(endedAt) { "job $id has not ended" }.toEpochMilli(),
+            reason,
+            workspace,
+        )
 
     fun restore(record: ProgressRecord) {
         record.steps
@@ -136,6 +146,9 @@
 
     val isDone: Boolean get() = done.cardinality() == spec.tasks
 
+    /** True while waiting tasks are held back by the limit of the workspace. */
+    var isLimited = false
+
     /** True once all steps that this one depends on are done. */
     val dependenciesDone: Boolean
         get() = spec.dependsOn.all { job.steps.getValue(StepRef(ref.job, ref.occurrence, it)).isDone }
@@ -176,6 +189,8 @@
     /** Step of the task, or null if its job is unknown. */
     val step: StepRun?,
     val resources: Resources,
+    /** Workspace that the run counts against, or null. */
+    val workspace: String?,
 ) {
     enum class Status {
         /** The start order has no answer yet. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
@@ -82,6 +82,7 @@
     val hasFailedOn: (UpstreamId) -> Boolean,
 ) {
     val spec: StepSpec get() = step.spec
+    val workspace: String? get() = step.job.workspace
 
     /** Resources that one task reserves on an upstream. */
     val size: Resources = spec.countedResources()
@@ -114,6 +115,8 @@
     val ticketsNeeded: List<Demand>,
     /** Steps with tasks that do not fit, by rank. */
     val blocked: List<Demand>,
+    /** Steps with tasks that the limit of their workspace holds back. */
+    val limited: Set<Demand>,
 )
 
 /**
@@ -126,10 +129,12 @@
  */
 internal class Planner(
     private val targets: List<PlacementTarget>,
+    private val budget: WorkspaceBudget = WorkspaceBudget.NO_LIMITS,
 ) {
     private val placements = ArrayList<Placement>()
     private val ticketsNeeded = ArrayList<Demand>()
     private val blocked = ArrayList<Demand>()
+    private val limited = LinkedHashSet<Demand>()
 
     /** Soft reservations are made only in a busy cell: otherwise no step waits for what yielding steps take. */
     private val isBusy =
@@ -140,7 +145,7 @@
     fun plan(demands: List<Demand>): Plan {
         countWaitingLargeSteps(demands)
         demands.sortedBy { it.rank }.forEach { if (it.spec.gang) placeGang(it) else placeTasks(it) }
-        return Plan(placements, ticketsNeeded, blocked)
+        return Plan(placements, ticketsNeeded, blocked, limited)
     }
 
     private fun countWaitingLargeSteps(demands: List<Demand>) {
@@ -153,18 +158,28 @@
 
     private fun isLarge(size: Resources): Boolean = size.cpuMillicores * LARGE_TASK_DIVISOR >= smallestCapacity
 
+    /** Returns how many tasks of [demand] its workspace may start; a step that is held back reserves nothing. */
+    private fun withinLimit(demand: Demand): Int {
+        val allowed = budget.fitCount(demand.workspace, demand.spec.resources, demand.tasks.size)
+        if (allowed < demand.tasks.size) limited += demand
+        return allowed
+    }
+
     private fun placeTasks(demand: Demand) {
+        val allowed = withinLimit(demand)
+        if (allowed == 0) return
         val usable = targets.filter { demand.allows(it) && it.fitCount(demand.size, 1) == 1 }
         val candidates = usable.map { Candidate(demand, it) }
         var placed = 0
-        for (task in demand.tasks) {
+        for (task in demand.tasks.take(allowed)) {
             val chosen = candidates.filter { it.hasCapacity() }.minOrNull() ?: break
             chosen.allocate()
             if (demand.hasTickets) placements += Placement(demand, task, chosen.target.id)
             placed++
         }
+        budget.take(demand.workspace, demand.spec.resources, placed)
         if (placed > 0 && !demand.hasTickets) ticketsNeeded += demand
-        if (placed < demand.tasks.size) block(demand)
+        if (placed < allowed) block(demand)
     }
 
     /** Records a step that has to wait, and keeps yielding steps of lower priority off the upstreams it waits for. */
@@ -211,6 +226,7 @@
     }
 
     private fun placeGang(demand: Demand) {
+        if (withinLimit(demand) < demand.tasks.size) return
         val usable = targets.filter { demand.allows(it) }
         val chosen = chooseForGang(demand, usable)
         if (chosen == null) {
@@ -219,6 +235,7 @@
             return
         }
         chosen.forEach { it.allocate(demand.size) }
+        budget.take(demand.workspace, demand.spec.resources, demand.tasks.size)
         if (demand.hasTickets) {
             demand.tasks.zip(chosen) { task, target -> placements += Placement(demand, task, target.id) }
         } else {
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -28,7 +28,8 @@
         upstream: Upstream,
         number: Long,
     ) {
-        val run = Run(TaskRef(step.ref, index), number, upstream, step, step.spec.countedResources())
+        val run =
+            Run(TaskRef(step.ref, index), number, upstream, step, step.spec.countedResources(), step.job.workspace)
         run.ticket = step.advice.tickets[upstream.id]
         run.checkpoint = checkpointFor(step, index)
         run.startedAt = state.now
@@ -41,6 +42,7 @@
             state.journal.changed(step.job)
         }
         upstream.add(run)
+        state.usage.add(run)
         sendStart(run, step)
     }
 
@@ -247,7 +249,14 @@
         val step = tasks.stepOf(row.task)
         val wanted = step != null && isWanted(step, row.task.index)
         val run =
-            Run(row.task, row.run, upstream, step, step?.spec?.countedResources() ?: Resources.NONE).apply {
+            Run(
+                row.task,
+                row.run,
+                upstream,
+                step,
+                step?.spec?.countedResources() ?: Resources.NONE,
+                step?.job?.workspace ?: state.finished[row.task.step.job]?.workspace,
+            ).apply {
                 status = Run.Status.STARTED
                 answeredAt = state.now
                 // The start time is unknown; it is approximated from the reported progress.
@@ -257,6 +266,7 @@
                 percent = row.percent
             }
         upstream.add(run)
+        state.usage.add(run)
         state.decided("run-found", row.task, "run ${row.run} on $upstream, ${if (wanted) "adopted" else "stopped"}")
         if (wanted) {
             step.begun = true
@@ -305,6 +315,7 @@
 
     private fun release(run: Run) {
         run.upstream.remove(run)
+        state.usage.remove(run)
         run.step?.let { step ->
             if (step.active[run.task.index] === run) step.active -= run.task.index
             step.unwantedRuns -= run
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/SubmissionCheck.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/SubmissionCheck.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.kernel.workspaces.ResourceTotals
 import org.anvilbarrow.protocol.jobs.JobRequest
 import org.anvilbarrow.protocol.jobs.JobSchedule
 import org.anvilbarrow.protocol.jobs.StepSpec
@@ -42,6 +43,20 @@
         }
     }
 
+    /** Returns a message that names a step of which no task, or no gang, can ever run within [limit], or null. */
+    internal fun limitProblemOf(
+        request: JobRequest.Submit,
+        limit: ResourceTotals,
+    ): String? =
+        request.spec.steps.withIndex().firstNotNullOfOrNull { (index, step) ->
+            val together = if (step.gang) step.tasks else 1
+            if (limit.fitCount(step.resources, together) >= together) {
+                null
+            } else {
+                "steps[$index] runs $together task(s) of ${step.resources} at once, above the workspace's $limit"
+            }
+        }
+
     private fun scheduleProblem(schedule: JobSchedule): String? {
         val occurrences = schedule.occurrences
         val longestInterval = MAX_TIME_MILLIS / occurrences.coerceAtLeast(1)
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -16,7 +16,6 @@
 ) {
     private val limits get() = state.limits
 
-    /** Upstreams that may have runs of an earlier owner and have not been observed yet. */
     private val unobserved = HashSet<UpstreamId>()
 
     fun load(loaded: LoadedShard) {
@@ -176,6 +175,9 @@
         state.dispatchNeeded = true
     }
 
+    /** Returns the upstreams that may have runs of an earlier owner and have not been observed yet. */
+    fun unobserved(): List<Upstream> = unobserved.mapNotNull(state.upstreams::get)
+
     /** True while jobs of an earlier owner have to wait. */
     val hasUnobserved: Boolean get() = unobserved.isNotEmpty()
 
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobInvariants.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobInvariants.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.kernel.workspaces.WorkspaceDirectory
 import org.anvilbarrow.protocol.jobs.EndedTask
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.RunEnd
@@ -46,9 +47,39 @@
         ) {
             world.violations += "upstream not allowed: $task starts on ${worker.id}"
         }
+        checkLimit(task)
         if (order.payload != spec.payload) world.violations += "payload differs: $task"
     }
 
+    private class EarlierLimits(
+        val directory: WorkspaceDirectory,
+        val until: Instant,
+    )
+
+    private val earlierLimits = ArrayList<EarlierLimits>()
+
+    /** Notes that the limits of the current version are replaced. */
+    fun limitsChange() {
+        world.workspaces?.let { earlierLimits += EarlierLimits(it, world.now) }
+    }
+
+    /** The highest limit that may be in force counts, with a tenth of it and one task more. */
+    private fun checkLimit(task: TaskRef) {
+        val workspace = world.workspaceOf[task.step.job] ?: return
+        val inForce = earlierLimits.filter { it.until.plus(CONFIG_APPLY).isAfter(world.now) }.map { it.directory }
+        val limits = (inForce + listOfNotNull(world.workspaces)).mapNotNull { it[workspace]?.limit }
+        val highest = limits.maxOfOrNull { it.cpuMillicores } ?: return
+        val used =
+            world.workers.values
+                .flatMap { it.running.values }
+                .filter { world.workspaceOf[it.task.step.job] == workspace }
+                .sumOf { it.size.cpuMillicores.toLong() }
+        val largest = world.specOf(task).resources.cpuMillicores
+        if (used > highest * LIMIT_TOLERANCE + largest) {
+            world.violations += "over the limit: $workspace runs $used of $highest millicores at ${world.now}"
+        }
+    }
+
     private val listedDone = HashSet<TaskRef>()
 
     private fun isStepDone(
@@ -90,5 +121,7 @@
 
     private companion object {
         val CANCEL_DEADLINE: Duration = Duration.ofSeconds(3)
+        val CONFIG_APPLY: Duration = Duration.ofSeconds(4)
+        const val LIMIT_TOLERANCE = 1.1
     }
 }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.anvilbarrow.kernel.proof.Timeline
+import org.anvilbarrow.kernel.workspaces.WorkspaceDirectory
 import org.anvilbarrow.protocol.jobs.CellMember
 import org.anvilbarrow.protocol.jobs.EndedTask
 import org.anvilbarrow.protocol.jobs.FinishedJob
@@ -41,6 +42,7 @@
     private val allowedShare: Double = 1.0,
     private val limits: CellLimits = CellLimits(),
     private val queues: List<QueueConfig> = listOf(queue("q", advice)),
+    workspaces: WorkspaceDirectory? = null,
 ) {
     private val timeline = Timeline()
     val now: Instant get() = START.plus(timeline.nowMicros, ChronoUnit.MICROS)
@@ -60,6 +62,14 @@
     /** Number of the next calls for advice that fail. */
     var failingAdvice = 0
 
+    /** Workspaces of the current version of the configuration. */
+    var workspaces = workspaces
+        private set
+    private var version = 1L
+
+    /** Workspace of each submitted job that has one. */
+    val workspaceOf = HashMap<JobId, String>()
+
     /** Upstreams that the owner cannot reach. */
     val unreachable = HashSet<UpstreamId>()
 
@@ -109,15 +119,26 @@
         pendingAppend = null
         val next = Cell(MEMBERS.first().address, token, limits, stored(), now)
         owner = next
-        deliver(
-            CellEvent.Configured(
-                CellConfig(1, persistentMapOf<String, QueueConfig>().putAll(queues.associateBy { it.name })),
-            ),
-        )
+        deliver(CellEvent.Configured(config()))
         deliver(CellEvent.HelpersChanged(members))
         deliver(CellEvent.Listed(workers.values.filter { it.listed }.map { it.entry }))
     }
 
+    private fun config() =
+        CellConfig(
+            version,
+            persistentMapOf<String, QueueConfig>().putAll(queues.associateBy { it.name }),
+            workspaces,
+        )
+
+    /** Puts a new version of the configuration with [directory] in force. */
+    fun configure(directory: WorkspaceDirectory) {
+        invariants.limitsChange()
+        workspaces = directory
+        version++
+        deliver(CellEvent.Configured(config()))
+    }
+
     /** Returns the finished jobs in the store. */
     fun finished(): List<FinishedJob> = stored().finished.values.flatMap { it.jobs }
 
@@ -153,7 +174,10 @@
     /** Sends [request] and returns its key in [answers]. */
     fun ask(request: JobRequest): Long {
         lastCall++
-        if (request is JobRequest.Submit) specs[request.job] = request.spec
+        if (request is JobRequest.Submit) {
+            specs.putIfAbsent(request.job, request.spec)
+            request.workspace?.let { workspaceOf.putIfAbsent(request.job, it) }
+        }
         if (request is JobRequest.Cancel) invariants.cancelled(request.job)
         deliver(CellEvent.Requested(CallKey("test", lastCall), request))
         return lastCall
@@ -163,7 +187,8 @@
         id: String,
         vararg steps: StepSpec,
         queue: String = "q",
-    ): Long = ask(JobRequest.Submit(JobId(id), queue, JobSpec("payload of $id", steps.toList())))
+        workspace: String? = null,
+    ): Long = ask(JobRequest.Submit(JobId(id), queue, JobSpec("payload of $id", steps.toList()), workspace))
 
     fun phase(id: String): JobPhase? {
         val call = ask(JobRequest.Status(JobId(id), queueOf(id)))
@@ -274,7 +299,10 @@
     ) {
         val sentAt = now
         if (random.nextDouble() < lateShare) {
-            after(lateBy) { workers.getValue(order.upstream).start(order) }
+            val worker = workers.getValue(order.upstream)
+            val incarnation = worker.incarnation
+            // An order that an upstream has received ends with the process that received it.
+            after(lateBy) { if (worker.incarnation == incarnation) worker.start(order) }
             after(TIMEOUT) { reply(from) { CellEvent.Reported(order, sentAt, order.unanswered("late")) } }
             return
         }
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/CellMessage.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/CellMessage.kt
@@ -84,7 +84,7 @@
 
     public companion object {
         /** Version of these messages; connections from processes of other versions are rejected. */
-        public const val PROTOCOL_VERSION: Int = 3
+        public const val PROTOCOL_VERSION: Int = 4
     }
 }
 
@@ -109,15 +109,23 @@
     val value: String,
 )
 
-/** Requests of callers to the owner of a job. */
+/**
+ * Requests of callers to the owner of a job.
+ *
+ * The process that a caller is connected to checks its API key; only the name of the workspace is passed on.
+ */
 @Serializable
 public sealed interface JobRequest {
+    /** Workspace of the caller, or null if the queue needs no API key. */
+    public val workspace: String?
+
     @Serializable
     @SerialName("submit")
     public data class Submit(
         val job: JobId,
         val queue: String,
         val spec: JobSpec,
+        override val workspace: String? = null,
     ) : JobRequest
 
     @Serializable
@@ -125,6 +133,7 @@
     public data class Status(
         val job: JobId,
         val queue: String,
+        override val workspace: String? = null,
     ) : JobRequest
 
     @Serializable
@@ -132,6 +141,7 @@
     public data class Cancel(
         val job: JobId,
         val queue: String,
+        override val workspace: String? = null,
     ) : JobRequest
 
     /** Asks for the number of accepted jobs of [queue] that have not started. */
@@ -139,6 +149,7 @@
     @SerialName("pending")
     public data class Pending(
         val queue: String,
+        override val workspace: String? = null,
     ) : JobRequest
 }
 
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
@@ -28,6 +28,8 @@
     val queue: String,
     val spec: JobSpec,
     val acceptedAtEpochMillis: Long,
+    /** Workspace of the caller, or null if the queue needed no API key. */
+    val workspace: String? = null,
 )
 
 /** Stored whenever the progress of an unfinished job changes. */
@@ -82,6 +84,8 @@
     val endedAtEpochMillis: Long,
     /** Reason for a [phase] other than [JobPhase.COMPLETED]. */
     val reason: String? = null,
+    /** Workspace that the job belonged to, or null. */
+    val workspace: String? = null,
 )
 
 /** Stored for each upstream that may be running tasks of a shard. */
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
@@ -6,12 +6,13 @@
 import org.anvilbarrow.adapters.cell.AdviceService
 import org.anvilbarrow.adapters.cell.CellMesh
 import org.anvilbarrow.adapters.cell.CellStore
+import org.anvilbarrow.adapters.cell.ConfigFollower
 import org.anvilbarrow.adapters.cell.JobGateway
 import org.anvilbarrow.adapters.cell.MeshLimits
 import org.anvilbarrow.adapters.cell.MeshListener
 import org.anvilbarrow.adapters.cell.PauseDetector
 import org.anvilbarrow.adapters.cell.PlatformCatalog
-import org.anvilbarrow.adapters.cell.TopicFollower
+import org.anvilbarrow.adapters.cell.SuspendAwareClock
 import org.anvilbarrow.adapters.cell.UpstreamCalls
 import org.anvilbarrow.adapters.http.CallerLimits
 import org.anvilbarrow.adapters.http.CallerServer
@@ -22,12 +23,12 @@
 import org.anvilbarrow.kernel.jobs.CellEffect
 import org.anvilbarrow.kernel.jobs.CellEvent
 import org.anvilbarrow.kernel.ownership.ClaimLimits
+import org.anvilbarrow.kernel.workspaces.CallerAccess
 import org.anvilbarrow.protocol.jobs.CellMember
 import org.anvilbarrow.protocol.jobs.CellMessage
 import org.anvilbarrow.protocol.jobs.ClaimRecord
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobRequest
-import org.anvilbarrow.protocol.jobs.KeyedRecord
 import org.anvilbarrow.protocol.jobs.Ticket
 import org.http4k.core.HttpHandler
 import java.net.InetSocketAddress
@@ -81,11 +82,12 @@
 
     /** For each shard, the token of the owner whose last answer was that it is not the owner, or 0. */
     private val disclaimedTokens = AtomicLongArray(settings.shards)
-    private val gateway =
+    private val gateway: OwnerGateway =
         OwnerGateway(
             settings.shards,
             clock,
-            { config },
+            { configuration.current },
+            CallerAccess(settings.accessBounds),
             decisions,
             reachability::isCutOff,
             ::ownershipReported,
@@ -94,12 +96,10 @@
     private val openAdvice = HashMap<Long, (List<Ticket>?) -> Unit>()
     private val lastAdvice = AtomicLong()
 
-    @Volatile
-    private var config: CellConfig? = null
     private val owners = Array<ClaimRecord?>(settings.shards) { null }
     private val processView =
         object : CellProcessView {
-            override val config: CellConfig? get() = this@CellProcess.config
+            override val config: CellConfig? get() = configuration.current?.config
             override val helpers: ImmutableList<CellMember>
                 get() = (mesh.connected.mapNotNull(members::get) + self).toPersistentList()
 
@@ -135,15 +135,14 @@
         )
     private val controllers =
         List(settings.shards) { shard -> ShardController(shard, context) { ownerChanged(shard, it) } }
-    private val configuration =
-        TopicFollower(
+    private val configuration: ConfigFollower =
+        ConfigFollower(
             ports.store,
-            ports.catalog.operatorTopic,
-            0,
-            CONFIG_WAIT,
-            Duration.ZERO,
+            ports.catalog,
+            SuspendAwareClock(clock, InstantSource.system()),
             control,
-        ) { records, _ -> configured(records) }
+            ::configured,
+        )
     private val metrics = CellMetrics(controllers)
     private val callerApi = server(settings.callers, ports.callerApi(gateway), CALLER_THREADS)
     private val operations =
@@ -210,7 +209,7 @@
     private fun notReadyReason(): String? =
         when {
             stopping -> "a planned stop has begun"
-            config == null -> "no configuration yet"
+            configuration.current == null -> "no configuration yet"
             (0 until settings.shards).any { !reaches(it) } -> "the owner of a shard is not connected"
             else -> null
         }
@@ -230,12 +229,10 @@
         isOwner: Boolean,
     ): Unit = disclaimedTokens.set(shard, if (isOwner) 0 else owners[shard]?.token ?: 0)
 
-    private fun configured(records: List<KeyedRecord>) {
-        val newest = records.mapNotNull(ports.catalog::config).maxByOrNull { it.version } ?: return
-        if (newest.version <= (config?.version ?: -1)) return
-        config = newest
-        log.info { "event=configured version=${newest.version} queues=${newest.queues.size}" }
-        controllers.forEach { it.configured(newest) }
+    private fun configured(config: CellConfig) {
+        val workspaces = config.workspaces?.workspaces?.size
+        log.info { "event=configured version=${config.version} queues=${config.queues.size} workspaces=$workspaces" }
+        controllers.forEach { it.configured(config) }
     }
 
     private fun ownerChanged(
@@ -344,9 +341,6 @@
         /** Without a shard, ticks drive only the timeouts of claims and calls, which are longer. */
         val IDLE_TICK_INTERVAL: Duration = Duration.ofMillis(100)
 
-        /** Long-poll time of a configuration read. */
-        val CONFIG_WAIT: Duration = Duration.ofSeconds(2)
-
         /** The load balancer probes once per second and removes a process after two failed probes. */
         val DRAIN_TIME: Duration = Duration.ofMillis(2_600)
 
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
@@ -1,8 +1,13 @@
 package org.anvilbarrow.scheduler.cell
 
+import org.anvilbarrow.adapters.cell.ConfirmedConfig
 import org.anvilbarrow.adapters.cell.JobGateway
 import org.anvilbarrow.kernel.jobs.CellConfig
+import org.anvilbarrow.kernel.jobs.QueueConfig
 import org.anvilbarrow.kernel.jobs.SubmissionCheck
+import org.anvilbarrow.kernel.workspaces.AccessDecision
+import org.anvilbarrow.kernel.workspaces.ApiKeyDigest
+import org.anvilbarrow.kernel.workspaces.CallerAccess
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.JobRequest
@@ -25,7 +30,8 @@
 internal class OwnerGateway(
     private val shards: Int,
     private val clock: InstantSource,
-    private val currentConfig: () -> CellConfig?,
+    private val currentConfig: () -> ConfirmedConfig?,
+    private val access: CallerAccess,
     private val decisions: DecisionLog,
     /** True while this process cannot reach the owner of a shard and expects no new owner. */
     private val isCutOff: (shard: Int) -> Boolean = { false },
@@ -101,7 +107,25 @@
     private val open = ConcurrentHashMap<Long, OpenCall>()
     private val lastCall = AtomicLong()
 
-    override fun config(): CellConfig? = currentConfig()
+    override fun config(): CellConfig? = currentConfig()?.config
+
+    override fun authorize(
+        queue: QueueConfig,
+        key: ApiKeyDigest?,
+    ): AccessDecision {
+        val confirmed = currentConfig() ?: return AccessDecision.Unconfirmed("no configuration yet")
+        val age = confirmed.age()
+        val decision = access.decide(confirmed.config.workspaces, queue.isPublic, key, age)
+        val reason =
+            when (decision) {
+                is AccessDecision.Granted -> return decision
+                is AccessDecision.Denied -> decision.reason
+                is AccessDecision.Unconfirmed -> decision.reason
+            }
+        val detail = "$reason, version ${confirmed.config.version}, confirmed ${age.toMillis()} ms ago"
+        decisions.write("call-unauthorized", queue.name, detail, clock.instant())
+        return decision
+    }
 
     override fun ask(
         request: JobRequest,
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/Rehearsal.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/Rehearsal.kt
@@ -5,6 +5,7 @@
 import org.anvilbarrow.adapters.settings.CellSettings
 import org.anvilbarrow.adapters.settings.ListenAddress
 import org.anvilbarrow.kernel.jobs.CellLimits
+import org.anvilbarrow.kernel.workspaces.AccessBounds
 import org.anvilbarrow.platform.standin.CallerStandIn
 import org.anvilbarrow.platform.standin.PlatformStandIn
 import org.anvilbarrow.scheduler.process.MonotonicClock
@@ -69,6 +70,7 @@
         shards = 1,
         stopGrace = Duration.ofMillis(1),
         limits = CellLimits(),
+        accessBounds = AccessBounds.of(KEY_WITHDRAWAL, CONFIG_APPLY),
         logLinesPerSecond = LOG_LINES_PER_SECOND,
     )
 
@@ -86,5 +88,7 @@
         const val PROCESSES = 2
         const val POLL_MILLIS = 20L
         const val LOG_LINES_PER_SECOND = 100
+        val KEY_WITHDRAWAL: Duration = Duration.ofSeconds(5)
+        val CONFIG_APPLY: Duration = Duration.ofSeconds(4)
     }
 }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardController.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardController.kt
@@ -58,7 +58,7 @@
             Duration.ZERO,
             UPSTREAM_POLL,
             context.executor,
-            ::upstreamRecords,
+            onRecords = ::upstreamRecords,
         )
 
     val isOwner: Boolean get() = claim.token != null
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
@@ -1,5 +1,7 @@
 package org.anvilbarrow.scheduler.cell
 
+import org.anvilbarrow.kernel.workspaces.AccessBounds
+import org.anvilbarrow.kernel.workspaces.CallerAccess
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.JobRequest
@@ -32,9 +34,21 @@
     private var cutOff = false
     private val ownershipReports = CopyOnWriteArrayList<Boolean>()
     private val gateway =
-        OwnerGateway(2, InstantSource.system(), {
-            null
-        }, DecisionLog(1) { }, { cutOff }, { _, owns -> ownershipReports += owns }) { _, call, _ ->
+        OwnerGateway(
+            2,
+            InstantSource.system(),
+            {
+                null
+            },
+            CallerAccess(AccessBounds.of(Duration.ofSeconds(5), Duration.ofSeconds(4))),
+            DecisionLog(1) {
+            },
+            { cutOff },
+            { _, owns ->
+                ownershipReports +=
+                    owns
+            },
+        ) { _, call, _ ->
             owner?.also { sent += call }
         }
     private val status = JobRequest.Status(JobId("5c0e7a21d94b36f8"), "q")
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/ShardControllerTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/ShardControllerTest.kt
@@ -99,6 +99,8 @@
         override val operatorTopic = "operators"
         override val upstreamTopic = "upstreams"
 
+        override fun isConfig(record: KeyedRecord): Boolean = false
+
         override fun config(record: KeyedRecord): CellConfig? = null
 
         override fun upstream(record: KeyedRecord): UpstreamEntry =
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/TestContext.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/TestContext.kt
@@ -52,6 +52,8 @@
     override val operatorTopic = "operators"
     override val upstreamTopic = "upstreams"
 
+    override fun isConfig(record: KeyedRecord): Boolean = false
+
     override fun config(record: KeyedRecord): CellConfig? = null
 
     override fun upstream(record: KeyedRecord): UpstreamEntry? = null
