Run jobs beyond the share of their workspace where others leave room

Cause: the order among waiting steps is global, so a workspace that sends seven times its share delays all others. Change: a token bucket for each workspace, of its weight in jobs a second; jobs beyond it are accepted, marked in their record and ranked behind all others, and no upstream is kept free for them.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -83,6 +83,8 @@
     val storeAnswerTimeout: Duration = Duration.ofSeconds(10),
     /** Maximum number of unfinished jobs. */
     val maxOpenJobs: Int = 20_000,
+    /** True if jobs beyond the share of their workspace run only where others leave room. */
+    val ranksBeyondShareLast: Boolean = true,
     /** Multiple of the latency objective after which the result of a job has no value. */
     val lateFactor: Double = 3.0,
 )
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobController.kt
@@ -21,6 +21,7 @@
 
     private val pendingCalls = ArrayList<PendingCall>()
     private val latencies = JobLatencyRecorder(state)
+    private val arrivals = WorkspaceArrivals()
 
     fun handle(
         call: CallKey,
@@ -67,17 +68,24 @@
         if (state.jobs.size >= state.limits.maxOpenJobs) {
             return refuse(call, request.job, "${state.jobs.size} jobs are kept, which is the limit")
         }
-        val job =
-            JobRun(
-                request.job,
-                SubmissionRecord(request.queue, request.spec, state.now.toEpochMilli(), request.workspace),
-            )
+        val job = JobRun(request.job, recordOf(request))
         state.jobs[job.id] = job
         state.journal.submitted(job)
         openDueOccurrences(job)
         awaitStored(call, job)
     }
 
+    private fun recordOf(request: JobRequest.Submit): SubmissionRecord {
+        val workspace = request.workspace?.let { state.config?.workspaces?.get(it) }
+        return SubmissionRecord(
+            request.queue,
+            request.spec,
+            state.now.toEpochMilli(),
+            request.workspace,
+            beyondShare = workspace != null && !arrivals.isWithinShare(workspace, state.limits.shards, state.now),
+        )
+    }
+
     private fun limitProblemOf(request: JobRequest.Submit): String? {
         val limit = request.workspace?.let { state.limitOf(it) } ?: return null
         return SubmissionCheck.limitProblemOf(request, limit)
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
@@ -56,13 +56,15 @@
 
 /** Order in which steps are placed, smallest first. */
 internal data class Rank(
+    /** True if the job is beyond the share of its workspace; it runs where others leave room. */
+    val beyondShare: Boolean,
     /** 0 if the step can still meet its latency objective, 1 if it is late, 2 if its result has no value any more. */
     val lateness: Int,
     val priority: Int,
     val deadline: Instant,
 ) : Comparable<Rank> {
     override fun compareTo(other: Rank): Int =
-        compareValuesBy(this, other, { it.lateness }, { it.priority }, { it.deadline })
+        compareValuesBy(this, other, { it.beyondShare }, { it.lateness }, { it.priority }, { it.deadline })
 }
 
 /** The tasks of one step that are ready to be placed. */
@@ -94,7 +96,7 @@
             (!yieldsCapacity || outranks(target.softReservedForPriority))
 
     /** True if there is no reservation, or one for less urgent steps only. */
-    private fun outranks(priority: Int?): Boolean = priority == null || rank.priority < priority
+    private fun outranks(priority: Int?): Boolean = priority == null || (!rank.beyondShare && rank.priority < priority)
 }
 
 /** Resources that a task of the step reserves on its upstream; spare processor time is not reserved. */
@@ -182,10 +184,13 @@
         if (placed < allowed) block(demand)
     }
 
+    /** False for steps that are late or beyond a share, for which no upstream is kept free. */
+    private fun mayReserve(rank: Rank): Boolean = rank.lateness == 0 && !rank.beyondShare
+
     /** Records a step that has to wait, and keeps yielding steps of lower priority off the upstreams it waits for. */
     private fun block(demand: Demand) {
         blocked += demand
-        if (demand.rank.lateness > 0 || demand.yieldsCapacity || !isBusy) return
+        if (!mayReserve(demand.rank) || demand.yieldsCapacity || !isBusy) return
         val awaited = targets.filter { demand.allows(it) && it.fitsWhenIdle(demand.size) }
         // A gang that could not start even if all of them were idle must not keep them idle.
         if (demand.spec.gang && !gangFitsWhenIdle(demand, awaited)) return
@@ -287,7 +292,8 @@
         demand: Demand,
         usable: List<PlacementTarget>,
     ) {
-        if (reservedGangs >= MAX_RESERVED_GANGS || demand.rank.lateness > 0 || !gangFitsWhenIdle(demand, usable)) return
+        if (reservedGangs >= MAX_RESERVED_GANGS || !mayReserve(demand.rank)) return
+        if (!gangFitsWhenIdle(demand, usable)) return
         reservedGangs++
         var missing = demand.tasks.size
         for (target in usable.sortedByDescending { it.freeMillicores }) {
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Ranking.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Ranking.kt
@@ -20,7 +20,8 @@
                 state.now.isBefore(start.plus(objective.scaled(state.limits.lateFactor))) -> 1
                 else -> 2
             }
-        return Rank(lateness, queue.priority, start.plus(objective))
+        val beyondShare = step.job.beyondShare && state.limits.ranksBeyondShareLast
+        return Rank(beyondShare, lateness, queue.priority, start.plus(objective))
     }
 
     /** Returns the latency objective of [job]: the time within which callers of [queue] expect its end. */
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
@@ -30,6 +30,8 @@
     val acceptedAtEpochMillis: Long,
     /** Workspace of the caller, or null if the queue needed no API key. */
     val workspace: String? = null,
+    /** True if the workspace had handed in more jobs than it is entitled to. */
+    val beyondShare: Boolean = false,
 )
 
 /** Stored whenever the progress of an unfinished job changes. */
