--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -25,6 +25,7 @@
 
     /** Workspace whose limit and share the job counts against, or null. */
     val workspace: String? get() = submission.workspace
+
     /** True if the workspace had handed in more jobs than it is entitled to. */
     val beyondShare: Boolean get() = submission.beyondShare
     val acceptedAt: Instant = Instant.ofEpochMilli(submission.acceptedAtEpochMillis)
