Log which runs an upstream had when it restarted, and count crashes and lost runs

The logs could not tell a run that ended with its upstream from a start that never arrived: both were logged as a run that the upstream no longer reports. upstream-restarted and upstream-gone now name the runs that were there with their status, run-lost gives the status of the run, and two counters on the metrics address give the crashes and the lost runs of the present owner. No decision changes.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -58,6 +58,12 @@
     /** Steps that wait for capacity or advice. */
     public val waitingSteps: Int get() = state.ready.size
 
+    /** Upstreams that restarted or vanished without announcing it, since this owner claimed the shard. */
+    public val crashedUpstreams: Long get() = state.crashedUpstreams
+
+    /** Runs that ended with an unknown result, since this owner claimed the shard. */
+    public val lostRuns: Long get() = state.lostRuns
+
     /** Records that the store confirmed this owner's claim as the newest at [at]. */
     public fun confirmed(at: Instant) {
         state.confirmedAt = at
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
@@ -28,6 +28,10 @@
     /** Set when free capacity, steps or tickets change, so that waiting tasks are considered again. */
     var dispatchNeeded = false
 
+    /** Upstreams that restarted or vanished without announcing it, and runs that ended with an unknown result. */
+    var crashedUpstreams = 0L
+    var lostRuns = 0L
+
     /** When the store last confirmed the claim of this owner. */
     var confirmedAt: Instant = claimedAt
     private var lastRunNumber = 0L
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -308,7 +308,8 @@
         run: Run,
         reason: String,
     ) {
-        state.decided("run-lost", run.task, "run ${run.number} on ${run.upstream}: $reason")
+        state.lostRuns++
+        state.decided("run-lost", run.task, "run ${run.number} on ${run.upstream}, ${run.status}: $reason")
         release(run)
         run.step?.let { tasks.requeue(it, run.task.index) }
     }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
@@ -25,6 +25,9 @@
 
     /** Earliest time at which the upstream leaves, or null if it stays. */
     var leavesAt: Instant? = null
+
+    /** True once the upstream has announced that it leaves. */
+    val isLeaving: Boolean get() = leavesAt != null
     val runs = HashMap<TaskRef, Run>()
 
     /** Resources reserved by [runs]. A run holds them until its end is certain. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -86,7 +86,7 @@
         upstream.failedObservations = 0
         upstream.readClock(seen.clockMillis, state.now)
         if (upstream.incarnation != seen.incarnation) {
-            if (upstream.incarnation != null) state.decided("upstream-restarted", upstream, "life ${seen.incarnation}")
+            if (upstream.incarnation != null) restarted(upstream, seen.incarnation)
             upstream.startIncarnation(seen.incarnation)
         }
         val first = upstream.seenAt == null
@@ -98,6 +98,24 @@
         acknowledgeAfterStored(upstream)
     }
 
+    private fun restarted(
+        upstream: Upstream,
+        incarnation: Long,
+    ) {
+        state.crashedUpstreams++
+        state.decided(
+            "upstream-restarted",
+            upstream,
+            "life $incarnation follows ${upstream.incarnation}, ${runsOn(upstream)}",
+        )
+    }
+
+    /** Names the runs on [upstream], as any of them may be the reason for its end. */
+    private fun runsOn(upstream: Upstream): String =
+        upstream.runs.values.joinToString(prefix = "${upstream.runs.size} run(s) there: ", limit = MAX_NAMED_RUNS) {
+            "${it.task} run ${it.number} ${it.status}"
+        }
+
     /** Upstreams delete acknowledged ends, so an end is acknowledged only once it is stored. */
     private fun acknowledgeAfterStored(upstream: Upstream) {
         val end = upstream.lastReceivedEnd
@@ -146,7 +164,8 @@
         upstream: Upstream,
         reason: String,
     ) {
-        state.decided("upstream-gone", upstream, reason)
+        if (!upstream.isLeaving) state.crashedUpstreams++
+        state.decided("upstream-gone", upstream, "$reason, ${runsOn(upstream)}")
         loseRuns(upstream, "$upstream is gone")
         state.upstreams -= upstream.id
         relays.forget(upstream)
@@ -205,4 +224,9 @@
 
     private fun isRenewalDue(upstream: Upstream): Boolean =
         upstream.seenAt?.plus(limits.observeWait)?.isBefore(state.now) ?: true
+
+    private companion object {
+        /** Bounds the length of a log line. */
+        const val MAX_NAMED_RUNS = 12
+    }
 }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellMetrics.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellMetrics.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.scheduler.cell
 
+import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.anvilbarrow.adapters.http.MetricsText
@@ -9,7 +10,7 @@
 import org.http4k.core.Response
 import org.http4k.core.Status
 
-/** Gauges for the shards that a process owns, in the Prometheus text format. */
+/** Gauges and counters for the shards that a process owns, in the Prometheus text format. */
 internal class CellMetrics(
     private val controllers: List<ShardController>,
 ) {
@@ -20,6 +21,10 @@
             gauge("anvilbarrow_open_jobs", "Jobs of the owned shards that are not finished.") { sum { it.openJobs } }
             gauge("anvilbarrow_open_runs", "Runs whose end is not known.") { sum { it.openRuns } }
             gauge("anvilbarrow_waiting_steps", "Steps that wait for room or advice.") { sum { it.waitingSteps } }
+            counter("anvilbarrow_upstream_crashes", "Upstreams that restarted or vanished without notice.") {
+                total { it.crashedUpstreams }
+            }
+            counter("anvilbarrow_lost_runs", "Runs that ended with an unknown result.") { total { it.lostRuns } }
         }
     }
 
@@ -35,6 +40,22 @@
 
     private fun sum(of: (Cell) -> Int): Int = controllers.sumOf { it.owned?.let(of) ?: 0 }
 
+    private fun total(of: (Cell) -> Long): Long = controllers.sumOf { it.owned?.let(of) ?: 0 }
+
+    /** The count restarts with each takeover of a shard. */
+    private fun PrometheusRegistry.counter(
+        name: String,
+        help: String,
+        value: () -> Long,
+    ) {
+        CounterWithCallback
+            .builder()
+            .name(name)
+            .help(help)
+            .callback { it.call(value().toDouble()) }
+            .register(this)
+    }
+
     private fun PrometheusRegistry.gauge(
         name: String,
         help: String,
