Show that a task that crashes its upstreams is started without end

The simulated upstreams learn to crash under a task, at once or later, to stay down for a time, and to change their capacity.

--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
@@ -21,9 +21,12 @@
  */
 internal class FakeWorker(
     val id: UpstreamId,
-    val capacity: Resources,
+    capacity: Resources,
     private val world: JobWorld,
 ) {
+    var capacity = capacity
+        private set
+
     class Execution(
         val task: TaskRef,
         val run: Long,
@@ -38,6 +41,10 @@
     var listed = true
     var leavesIn: Duration? = null
     var failsEverything = false
+
+    /** True from a crash until the restart; no call is answered meanwhile. */
+    var isDown = false
+        private set
     var hangs = false
 
     /** Actual run time of a task as a multiple of its estimate. */
@@ -61,7 +68,22 @@
     val entry: UpstreamEntry
         get() = UpstreamEntry(id, "$id:1", "pool", "domain", "region", capacity, leavesIn = leavesIn)
 
+    /** Ends all runs without a report; the upstream restarts after [downTime]. */
+    fun crash(downTime: Duration) {
+        world.crashed(running.keys.toList())
+        running.clear()
+        isDown = true
+        world.after(downTime) { restart() }
+    }
+
+    /** Changes the capacity while tasks run. */
+    fun resize(newCapacity: Resources) {
+        world.resized(this)
+        capacity = newCapacity
+    }
+
     fun restart() {
+        isDown = false
         running.clear()
         ended.clear()
         closedRuns.clear()
@@ -115,9 +137,16 @@
             Execution(order.task, order.run, world.now, world.now.plusMillis(spec.estimatedMillis * slowdown), size)
         val used = running.values.fold(Resources.NONE) { sum, execution -> sum + execution.size }
         world.started(this, order, used)
+        world.crashDelay(order.task)?.let(::crashAfter)
         return StartResult.Started
     }
 
+    private fun crashAfter(delay: Duration) {
+        val crashing = incarnation
+        if (delay.isZero) return crash(world.downTime)
+        world.after(delay) { if (incarnation == crashing && !isDown) crash(world.downTime) }
+    }
+
     fun stop(order: UpstreamOrder.Stop): StopResult {
         advance()
         if (order.token < highestToken) return StopResult.DISPLACED
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobInvariants.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobInvariants.kt
@@ -7,6 +7,7 @@
 import org.anvilbarrow.protocol.jobs.TaskRef
 import org.anvilbarrow.protocol.jobs.UpstreamOrder
 import org.anvilbarrow.protocol.model.Resources
+import org.anvilbarrow.protocol.model.UpstreamId
 import java.time.Duration
 import java.time.Instant
 import java.util.BitSet
@@ -29,7 +30,7 @@
         used: Resources,
     ) {
         val task = order.task
-        if (!used.fitsIn(worker.capacity)) world.violations += "over capacity: ${worker.id} runs $used at ${world.now}"
+        if (!fits(worker, used)) world.violations += "over capacity: ${worker.id} runs $used at ${world.now}"
         if (task in acknowledgedDone) world.violations += "done task restarted: $task after its end was acknowledged"
         val elsewhere = world.workers.values.filter { it !== worker && task in it.running }
         if (elsewhere.isNotEmpty()) world.violations += "two runs: $task on ${elsewhere.map { it.id }} and ${worker.id}"
@@ -48,9 +49,50 @@
             world.violations += "upstream not allowed: $task starts on ${worker.id}"
         }
         checkLimit(task)
+        checkCrashes(task)
         if (order.payload != spec.payload) world.violations += "payload differs: $task"
     }
 
+    private class EarlierCapacity(
+        val capacity: Resources,
+        val until: Instant,
+    )
+
+    private val earlierCapacities = HashMap<UpstreamId, List<EarlierCapacity>>()
+
+    /** Notes that the capacity of [worker] is about to change. */
+    fun resized(worker: FakeWorker) {
+        earlierCapacities.merge(
+            worker.id,
+            listOf(EarlierCapacity(worker.capacity, world.now)),
+            List<EarlierCapacity>::plus,
+        )
+    }
+
+    /** A reduced capacity counts only after [CAPACITY_APPLY]. */
+    private fun fits(
+        worker: FakeWorker,
+        used: Resources,
+    ): Boolean =
+        used.fitsIn(worker.capacity) ||
+            earlierCapacities[worker.id].orEmpty().any {
+                it.until.plus(CAPACITY_APPLY).isAfter(world.now) && used.fitsIn(it.capacity)
+            }
+
+    private val crashesUnder = HashMap<TaskRef, Int>()
+    private val startsAfterLimit = HashMap<TaskRef, Int>()
+
+    /** Notes that an upstream crashed because of [tasks]. */
+    fun crashed(tasks: List<TaskRef>): Unit = tasks.forEach { crashesUnder.merge(it, 1, Int::plus) }
+
+    private fun checkCrashes(task: TaskRef) {
+        if ((crashesUnder[task] ?: 0) < MAX_CRASHES) return
+        val starts = startsAfterLimit.merge(task, 1, Int::plus) ?: 0
+        if (starts >= MAX_STARTS_AFTER_CRASHES) {
+            world.violations += "crashing task restarted: $task for the $starts. time after $MAX_CRASHES crashes"
+        }
+    }
+
     private class EarlierLimits(
         val directory: WorkspaceDirectory,
         val until: Instant,
@@ -123,5 +165,10 @@
         val CANCEL_DEADLINE: Duration = Duration.ofSeconds(3)
         val CONFIG_APPLY: Duration = Duration.ofSeconds(4)
         const val LIMIT_TOLERANCE = 1.1
+
+        /** Time that the platform allows until a reduced capacity is respected: contact and one heartbeat. */
+        val CAPACITY_APPLY: Duration = Duration.ofMillis(5_500)
+        const val MAX_CRASHES = 3
+        const val MAX_STARTS_AFTER_CRASHES = 3
     }
 }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -76,6 +76,19 @@
     /** Share of start orders that are not answered and take effect only after [lateBy]. */
     var lateShare = 0.0
     var lateBy: Duration = Duration.ofSeconds(3)
+
+    /** Returns the time from the start of a task to the crash of its upstream, or null for a task that does no harm. */
+    var crashDelay: (TaskRef) -> Duration? = { null }
+
+    /** Time from a crash of an upstream to its restart. */
+    var downTime: Duration = Duration.ofSeconds(2)
+
+    /** True if the platform's list lacks the upstreams that are down. */
+    var unlistsCrashed = false
+
+    /** Number of upstreams that crashed. */
+    var crashes = 0
+        private set
     val startTimes = ArrayList<Instant>()
     val specs = HashMap<JobId, JobSpec>()
 
@@ -121,9 +134,11 @@
         owner = next
         deliver(CellEvent.Configured(config()))
         deliver(CellEvent.HelpersChanged(members))
-        deliver(CellEvent.Listed(workers.values.filter { it.listed }.map { it.entry }))
+        deliver(CellEvent.Listed(listedEntries()))
     }
 
+    private fun listedEntries() = workers.values.filter { it.listed && !(unlistsCrashed && it.isDown) }.map { it.entry }
+
     private fun config() =
         CellConfig(
             version,
@@ -167,7 +182,7 @@
     }
 
     private fun pollList() {
-        deliver(CellEvent.Listed(workers.values.filter { it.listed }.map { it.entry }))
+        deliver(CellEvent.Listed(listedEntries()))
         after(LIST_POLL_INTERVAL, ::pollList)
     }
 
@@ -321,8 +336,10 @@
             return
         }
         after(latency.plus(wait)) {
-            val reached = workers[order.upstream].takeIf { order.upstream !in unreachable }
-            val report = call(reached)
+            val reached = workers[order.upstream].takeIf { order.upstream !in unreachable && it?.isDown == false }
+            val answered = call(reached)
+            // A crash closes the connection before the answer is sent.
+            val report = if (reached?.isDown == true) call(null) else answered
             reply(from) { CellEvent.Reported(order, sentAt, report) }
         }
     }
@@ -337,6 +354,15 @@
         invariants.started(worker, order, used)
     }
 
+    /** Notes that an upstream crashed under [tasks]. */
+    fun crashed(tasks: List<TaskRef>) {
+        crashes++
+        invariants.crashed(tasks.filter { crashDelay(it) != null })
+    }
+
+    /** Notes that the capacity of [worker] is about to change. */
+    fun resized(worker: FakeWorker): Unit = invariants.resized(worker)
+
     fun acknowledged(
         worker: FakeWorker,
         ends: List<EndedTask>,
