Bound what a successor finds running by the largest capacity that was seen

Cause: while upstreams are not observed yet, a successor bounds what a workspace may have running there by their present capacity. After a capacity has shrunk, more than that may still run, and the workspace could exceed its limit.

Change: the record of a used upstream gains the largest capacity that an owner has seen, written at discovery and when the capacity grows beyond it.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
@@ -66,6 +66,9 @@
 
     fun readClock(
         millis: Long,
+    /** Largest recorded capacity, which bounds what runs there may use, or null if it is not known. */
+    var largestCapacity: Resources? = null
+
         now: Instant,
     ) {
         clockMillis = millis
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -24,6 +24,7 @@
             upstream.isRecorded = true
             upstream.region = record.region
             upstream.leasesExpireBy = leases.earlierOwnersExpireBy(loaded.earlierOwnersEnded)
+            upstream.largestCapacity = record.largestCapacity
             state.upstreams[record.upstream] = upstream
             unobserved += record.upstream
         }
@@ -41,6 +42,7 @@
             upstream.address = entry.address
             upstream.isListed = true
         }
+            recordCapacity(upstream, entry)
         state.upstreams.values.filter { it.isListed && it.id !in byId }.forEach {
             it.isListed = false
             state.decided("upstream-unlisted", it, "${it.runs.size} run(s)")
@@ -51,7 +53,7 @@
     /** Records in the store that the upstream is used. Runs start there only after that. */
     private fun discovered(entry: UpstreamEntry): Upstream {
         val upstream = Upstream(entry.id, entry.address)
-        state.journal.upstream(entry.id, UsedUpstreamRecord(entry.id, entry.address, entry.region))
+        recordCapacity(upstream, entry)
         state.journal.afterStored {
             upstream.isRecorded = true
             state.dispatchNeeded = true
@@ -60,6 +62,18 @@
     }
 
     /** The observe request that was sent at [sentAt] ended with [result]. */
+    /** Stores a capacity that is larger than those before: a successor bounds the runs that it finds by the largest one. */
+    private fun recordCapacity(
+        upstream: Upstream,
+        entry: UpstreamEntry,
+    ) {
+        val recorded = upstream.largestCapacity
+        if (recorded != null && entry.capacity.fitsIn(recorded)) return
+        val largest = recorded?.maxWith(entry.capacity) ?: entry.capacity
+        upstream.largestCapacity = largest
+        state.journal.upstream(entry.id, UsedUpstreamRecord(entry.id, entry.address, entry.region, largest))
+    }
+
     fun observed(
         order: UpstreamOrder.Observe,
         sentAt: Instant,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/WorkspaceLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/WorkspaceLimits.kt
@@ -28,9 +28,9 @@
     }
 
     private fun capacityOf(upstreams: List<Upstream>): ResourceTotals {
-        // An upstream that is not listed any more may have any capacity.
-        if (upstreams.any { it.entry == null }) return ResourceTotals.UNLIMITED
-        return upstreams.fold(ResourceTotals.NONE) { sum, upstream -> sum + ResourceTotals.of(upstream.capacity) }
+        // The present capacity does not bound runs that started under a larger one.
+        val largest = upstreams.map { it.largestCapacity ?: return ResourceTotals.UNLIMITED }
+        return largest.fold(ResourceTotals.NONE) { sum, capacity -> sum + ResourceTotals.of(capacity) }
     }
 
     /** Includes steps with open dependencies: the ends of these may be known to the earlier owner only. */
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
@@ -98,6 +98,8 @@
     val address: String,
     val region: String? = null,
 )
+    /** Largest capacity that an owner of the shard has seen, or null if it was not recorded. */
+    val largestCapacity: Resources? = null,
 
 /** Claim of ownership of a shard, or its renewal or release. */
 @Serializable
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/model/Resources.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/model/Resources.kt
@@ -41,6 +41,16 @@
             connections * factor,
         )
 
+    /** Returns the larger of two amounts, resource by resource. */
+    public fun maxWith(other: Resources): Resources =
+        Resources(
+            maxOf(cpuMillicores, other.cpuMillicores),
+            maxOf(memoryMebibytes, other.memoryMebibytes),
+            maxOf(accelerators, other.accelerators),
+            maxOf(slots, other.slots),
+            maxOf(connections, other.connections),
+        )
+
     /** Returns true if every resource of this amount is at most that of [available]. */
     public fun fitsIn(available: Resources): Boolean =
         cpuMillicores <= available.cpuMillicores &&
