Start nothing on capacities that were read more than 3.5 s ago

Cause: the planner uses the capacity of the last entry, however old. An owner that cannot read the list goes on filling an upstream whose capacity has shrunk meanwhile; the operators allow contact_ms (4 s and more) and one heartbeat.

Change: the follower of the list reports the start of each read that returned all changes, and the dispatcher starts nothing once the last one is older than 3.5 s. Running work, renewals, stops and submissions go on. Cost: in an outage of the store longer than that, no task starts until it is back.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -95,6 +95,7 @@
             is CellEvent.Requested -> jobs.handle(event.call, event.request)
             is CellEvent.Reported -> reported(event)
             is CellEvent.Advised -> dispatcher.advised(event.call, event.good)
+            is CellEvent.ListConfirmed -> state.listConfirmedAt = event.readBeganAt
             is CellEvent.HelpersChanged -> helpersChanged(event.helpers)
             CellEvent.Stored -> state.journal.stored()
             CellEvent.StoreFenced -> state.emit(CellEffect.Resign("a later owner has written to the store"))
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellEvent.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellEvent.kt
@@ -22,6 +22,11 @@
         val entries: List<UpstreamEntry>,
     ) : CellEvent
 
+    /** A read of the platform's list that began at [readBeganAt] has returned all changes that existed then. */
+    public data class ListConfirmed(
+        val readBeganAt: Instant,
+    ) : CellEvent
+
     /** A caller sent a request. Answered by [CellEffect.Answer] with the same [call]. */
     public data class Requested(
         val call: CallKey,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -44,6 +44,20 @@
     val ticketMargin: Duration = Duration.ofMillis(250),
     /** Added to the expected duration of a call to the advice service until it times out. */
     val adviceTimeout: Duration = Duration.ofMillis(1_500),
+    /**
+     * Age of the list of upstreams up to which tasks start.
+     *
+     * A reduced capacity has to be respected after the contact time of at least 4 s and one heartbeat.
+     */
+    val maxListAge: Duration = Duration.ofMillis(3_500),
+    /** Crashes of upstreams under a task after which its job fails, unless another task is more likely to be the reason. */
+    val maxCrashesOfPrimeSuspect: Int = 3,
+    /** Crashes of upstreams under a task after which its job fails in any case. */
+    val maxCrashes: Int = 4,
+    /** Time that a run has to last before it counts as harmless to its upstream. */
+    val crashProbation: Duration = Duration.ofSeconds(1),
+    /** Time after which a long-running task that goes on running is no longer held to earlier crashes. */
+    val crashForgiveness: Duration = Duration.ofSeconds(30),
     /** Advice calls that are expected to take longer do not use the helpers reserved for short calls. */
     val longAdvice: Duration = Duration.ofMillis(300),
     /** Share of the helpers that is reserved for short advice calls. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
@@ -28,6 +28,9 @@
     /** Set when free capacity, steps or tickets change, so that waiting tasks are considered again. */
     var dispatchNeeded = false
 
+    /** Start of the last read of the platform's list that returned all changes. */
+    var listConfirmedAt: Instant = Instant.MIN
+
     /** Upstreams that restarted or vanished without announcing it, and runs that ended with an unknown result. */
     var crashedUpstreams = 0L
     var lostRuns = 0L
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
@@ -55,6 +55,8 @@
         state.dispatchNeeded = false
         val config = state.config ?: return
         val usable = state.upstreams.values.filter { it.isRecorded && it.isUsable(state.now) }
+        // Capacities may have shrunk since.
+        if (state.now.isAfter(state.listConfirmedAt.plus(limits.maxListAge))) return
         val steps = state.ready.filter { it.job.queue in config.queues && !it.job.blockedByTakeover }
         steps.groupBy { config.queues.getValue(it.job.queue).pool }.forEach { (pool, waiting) ->
             dispatchPool(pool, waiting, usable.filter { it.entry?.pool == pool })
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -135,6 +135,7 @@
         deliver(CellEvent.Configured(config()))
         deliver(CellEvent.HelpersChanged(members))
         deliver(CellEvent.Listed(listedEntries()))
+        deliver(CellEvent.ListConfirmed(now))
     }
 
     private fun listedEntries() = workers.values.filter { it.listed && !(unlistsCrashed && it.isDown) }.map { it.entry }
@@ -181,8 +182,12 @@
         after(TICK_INTERVAL, ::tick)
     }
 
+    /** False while the owner cannot read the platform's list. */
+    var listReadable = true
+
     private fun pollList() {
-        deliver(CellEvent.Listed(listedEntries()))
+        if (listReadable) deliver(CellEvent.Listed(listedEntries()))
+        if (listReadable) deliver(CellEvent.ListConfirmed(now))
         after(LIST_POLL_INTERVAL, ::pollList)
     }
 
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardController.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardController.kt
@@ -50,6 +50,7 @@
     private var flushScheduled = false
     private var nextFlushAt: Instant = Instant.MIN
     private val upstreams = HashMap<String, UpstreamEntry>()
+    private var listReadBeganAt: Instant = Instant.MIN
     private val upstreamFollower =
         TopicFollower(
             context.store,
@@ -58,6 +59,8 @@
             Duration.ZERO,
             UPSTREAM_POLL,
             context.executor,
+            onReadBegins = { listReadBeganAt = now() },
+            onCurrent = { events += CellEvent.ListConfirmed(listReadBeganAt) },
             onRecords = ::upstreamRecords,
         )
 
