Give up tasks that crash upstream after upstream, and contain them before

Cause: runs that end with their upstream were requeued without a count. An order without an answer was repeated to an upstream that had crashed under it and restarted. Nothing of this was stored.

Orders that met a broken connection are repeated only after the upstream was seen alive since, and stopped after a restart.

--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/CellSettingsReader.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/settings/CellSettingsReader.kt
@@ -166,6 +166,7 @@
             limits =
                 limits.copy(
                     lease = minOf(limits.lease, known(ini.value(keys.maxLease))),
+                    maxLease = known(ini.value(keys.maxLease)),
                     retention = known(ini.value(keys.retention)),
                     shards = known(ini.value(keys.shards)),
                 ),
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -25,9 +25,10 @@
     private val leases = Leases(state)
     private val relays = Relays(state)
     private val jobs: JobController = JobController(state) { runs.stopAll(it) }
-    private val outcomes = TaskOutcomes(state, jobs)
-    private val runs: RunController = RunController(state, leases, outcomes, relays)
-    private val watch = UpstreamWatch(state, leases, runs, relays)
+    private val crashes = CrashTracker(state, jobs)
+    private val outcomes = TaskOutcomes(state, jobs, crashes)
+    private val runs: RunController = RunController(state, leases, outcomes, relays, crashes)
+    private val watch = UpstreamWatch(state, leases, runs, relays, crashes)
     private val workspaceLimits = WorkspaceLimits(state, watch::unobserved)
     private val dispatcher = Dispatcher(state, runs, workspaceLimits::unused)
     private val evacuation = Evacuation(state, runs)
@@ -37,6 +38,7 @@
         watch.load(loaded)
         state.finished.load(loaded.finished)
         loaded.jobs.forEach(::load)
+        state.journal.crashesOrphaned(loaded.orphanedCrashRecords)
     }
 
     private fun load(loaded: LoadedJob) {
@@ -45,6 +47,7 @@
         job.blockedByTakeover = watch.hasUnobserved
         state.jobs[job.id] = job
         loaded.progress?.let(job::restore)
+        crashes.load(job, loaded)
         job.steps.values.forEach(jobs::enqueueIfReady)
         jobs.openDueOccurrences(job)
     }
@@ -92,10 +95,10 @@
             CellEvent.Tick -> tick()
             is CellEvent.Configured -> configure(event.config)
             is CellEvent.Listed -> watch.listed(event.entries)
+            is CellEvent.ListConfirmed -> state.listConfirmedAt = event.readBeganAt
             is CellEvent.Requested -> jobs.handle(event.call, event.request)
             is CellEvent.Reported -> reported(event)
             is CellEvent.Advised -> dispatcher.advised(event.call, event.good)
-            is CellEvent.ListConfirmed -> state.listConfirmedAt = event.readBeganAt
             is CellEvent.HelpersChanged -> helpersChanged(event.helpers)
             CellEvent.Stored -> state.journal.stored()
             CellEvent.StoreFenced -> state.emit(CellEffect.Resign("a later owner has written to the store"))
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellConfig.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellConfig.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.anvilbarrow.kernel.workspaces.WorkspaceDirectory
+import org.anvilbarrow.protocol.jobs.CrashRecord
 import org.anvilbarrow.protocol.jobs.FinishedJobsRecord
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.ProgressRecord
@@ -87,10 +88,13 @@
     val finished: ImmutableMap<Long, FinishedJobsRecord> = persistentMapOf(),
     /** True if no earlier owner can grant or renew leases any more. */
     val earlierOwnersEnded: Boolean = false,
+    /** Jobs with a record of crashes that have ended under an owner that did not know such records. */
+    val orphanedCrashRecords: ImmutableList<JobId> = persistentListOf(),
 )
 
 public data class LoadedJob(
     val id: JobId,
     val submission: SubmissionRecord,
     val progress: ProgressRecord?,
+    val crashes: CrashRecord? = null,
 )
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -9,6 +9,8 @@
     val shards: Int = 1,
     /** Lease on running tasks. It outlasts a takeover (about 3 s) and is renewed every [observeWait]. */
     val lease: Duration = Duration.ofMillis(5_500),
+    /** Longest lease that upstreams accept. */
+    val maxLease: Duration = Duration.ofSeconds(10),
     /** How long an upstream holds an observe request until a run ends (long polling). */
     val observeWait: Duration = Duration.ofMillis(1_200),
     /** Minimum time between an observation and the next observe request. Each request has a cost. */
@@ -30,6 +32,8 @@
     val unconfirmedRenewal: Duration = Duration.ofSeconds(5),
     /** Delay before an unanswered order is sent again. */
     val orderRetry: Duration = Duration.ofMillis(300),
+    /** An order that ends sooner without an answer has met a broken connection; a call times out after 0.9 s. */
+    val shortestTimeout: Duration = Duration.ofMillis(800),
     /** Unanswered start orders after which the run is stopped instead. */
     val maxStartAttempts: Int = 2,
     /** Time for all members of a gang to start before it is stopped. Members wait 3 s for each other. */
@@ -40,10 +44,6 @@
     val failuresBeforeQuarantine: Int = 2,
     /** How long an upstream is quarantined before it gets a single task again. */
     val quarantine: Duration = Duration.ofSeconds(4),
-    /** Unused part of a ticket's validity: the time for its transport to the owner and to the upstream. */
-    val ticketMargin: Duration = Duration.ofMillis(250),
-    /** Added to the expected duration of a call to the advice service until it times out. */
-    val adviceTimeout: Duration = Duration.ofMillis(1_500),
     /**
      * Age of the list of upstreams up to which tasks start.
      *
@@ -58,6 +58,10 @@
     val crashProbation: Duration = Duration.ofSeconds(1),
     /** Time after which a long-running task that goes on running is no longer held to earlier crashes. */
     val crashForgiveness: Duration = Duration.ofSeconds(30),
+    /** Unused part of a ticket's validity: the time for its transport to the owner and to the upstream. */
+    val ticketMargin: Duration = Duration.ofMillis(250),
+    /** Added to the expected duration of a call to the advice service until it times out. */
+    val adviceTimeout: Duration = Duration.ofMillis(1_500),
     /** Advice calls that are expected to take longer do not use the helpers reserved for short calls. */
     val longAdvice: Duration = Duration.ofMillis(300),
     /** Share of the helpers that is reserved for short advice calls. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
@@ -22,15 +22,18 @@
     val usage = WorkspaceUsage()
     val journal = Journal(finished) { jobs -= it.id }
 
+    /** Runs of tasks under which upstreams crashed, until they have outlasted the probation. */
+    val suspectRuns = HashSet<Run>()
+
     /** Steps with waiting tasks whose dependencies are done. */
     val ready = LinkedHashSet<StepRun>()
 
-    /** Set when free capacity, steps or tickets change, so that waiting tasks are considered again. */
-    var dispatchNeeded = false
-
     /** Start of the last read of the platform's list that returned all changes. */
     var listConfirmedAt: Instant = Instant.MIN
 
+    /** Set when free capacity, steps or tickets change, so that waiting tasks are considered again. */
+    var dispatchNeeded = false
+
     /** Upstreams that restarted or vanished without announcing it, and runs that ended with an unknown result. */
     var crashedUpstreams = 0L
     var lostRuns = 0L
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
@@ -15,6 +15,7 @@
     private val limits get() = state.limits
     private val balancer = AdviceCallBalancer(limits)
     private val selector = AdviceCandidateSelector()
+    private val containment = CrashContainment(limits)
 
     fun helpersChanged(names: List<String>): Unit = balancer.setHelpers(names)
 
@@ -54,9 +55,9 @@
     fun dispatch() {
         state.dispatchNeeded = false
         val config = state.config ?: return
-        val usable = state.upstreams.values.filter { it.isRecorded && it.isUsable(state.now) }
         // Capacities may have shrunk since.
         if (state.now.isAfter(state.listConfirmedAt.plus(limits.maxListAge))) return
+        val usable = state.upstreams.values.filter { it.isRecorded && it.isUsable(state.now) }
         val steps = state.ready.filter { it.job.queue in config.queues && !it.job.blockedByTakeover }
         steps.groupBy { config.queues.getValue(it.job.queue).pool }.forEach { (pool, waiting) ->
             dispatchPool(pool, waiting, usable.filter { it.entry?.pool == pool })
@@ -122,7 +123,15 @@
 
     private fun target(upstream: Upstream): PlacementTarget {
         val entry = checkNotNull(upstream.entry) { "$upstream is usable without an entry" }
-        return PlacementTarget(upstream.id, upstream.capacity, upstream.used, entry.labels, entry.rack)
+        return PlacementTarget(
+            upstream.id,
+            upstream.capacity,
+            upstream.used,
+            entry.labels,
+            entry.rack,
+            restarts = upstream.restarts,
+            runsSuspect = state.suspectRuns.any { it.upstream === upstream },
+        )
     }
 
     private fun demandOf(
@@ -131,7 +140,7 @@
         advised: Boolean,
     ): Demand? {
         if (!step.job.stored) return null
-        val tasks = step.startable().ifEmpty { return null }
+        val tasks = containment.startable(step, step.startable()).ifEmpty { return null }
         val ranked = rank.of(step)
         return Demand(
             step = step,
@@ -141,6 +150,7 @@
             yieldsCapacity = laxity(step, ranked) > limits.minLaxityToYield,
             hasTickets = !advised || step.advice.isFresh(state.now),
             runningCountOn = { id -> state.upstreams[id]?.let(step::countOn) ?: 0 },
+            suspects = tasks.filterTo(HashSet(), step.crashes::isSuspect),
             hasFailedOn = { id -> step.failedOn.any { it.id == id } },
         )
     }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.protocol.jobs.CrashRecord
 import org.anvilbarrow.protocol.jobs.FinishedJob
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.JobPhase
@@ -44,6 +45,9 @@
     /** When the store confirmed the submission, or null for a job that an earlier owner accepted. */
     var storedAt: Instant? = null
 
+    /** True if the store holds a record of crashes under the job's tasks. */
+    var hasCrashRecord = false
+
     /** True while the job may have runs, started by an earlier owner, that this owner has not discovered yet. */
     var blockedByTakeover = false
 
@@ -78,6 +82,13 @@
 
     fun progress(): ProgressRecord = ProgressRecord(steps.values.map { it.progress() })
 
+    /** Returns the record of crashes under the job's tasks, or null if there are none. */
+    fun crashRecord(): CrashRecord? =
+        steps.values
+            .flatMap { it.crashes.stored(it) }
+            .takeIf { it.isNotEmpty() }
+            ?.let(::CrashRecord)
+
     /** Returns the record that is retained after the job has ended. */
     fun finished(): FinishedJob =
         FinishedJob(
@@ -133,6 +144,7 @@
 
     /** Upstreams on which runs of the step failed. */
     val failedOn = HashSet<Upstream>()
+    val crashes = StepCrashes()
     var begun = false
     val advice = StepAdvice()
 
@@ -219,9 +231,25 @@
     var orderInFlight = false
     var startAttempts = 0
     var nextOrderAt: Instant = Instant.MIN
+
+    /** When the last start order was sent, and whether the upstream is known to have received one in its incarnation. */
+    var lastStartSentAt: Instant = Instant.MIN
+    var isStartAnswered = false
+
+    /** True if the last start order ended without an answer before its timeout. */
+    var isConnectionBroken = false
     var percent = 0
     var progressedAt: Instant = Instant.MIN
 
+    /** True if the upstream reported the run for long enough after its start to rule out a crash by it. */
+    var hasOutlastedProbation = false
+
+    /** True once a crash is attributed to the run, which then only has to be confirmed as over. */
+    var isCrashAttributed = false
+
+    /** True unless no start order was sent. */
+    val mayHaveStarted: Boolean get() = startAttempts > 0 || status != Status.STARTING
+
     companion object {
         /** Value of [percent] when the task has finished its work. */
         const val COMPLETE_PERCENT = 100
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Journal.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Journal.kt
@@ -1,7 +1,9 @@
 package org.anvilbarrow.kernel.jobs
 
 import kotlinx.serialization.KSerializer
+import org.anvilbarrow.protocol.jobs.CrashRecord
 import org.anvilbarrow.protocol.jobs.FinishedJobsRecord
+import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.KeyedRecord
 import org.anvilbarrow.protocol.jobs.ProgressRecord
 import org.anvilbarrow.protocol.jobs.RecordCodec
@@ -23,6 +25,8 @@
 ) {
     private val submissions = LinkedHashSet<JobRun>()
     private val changed = LinkedHashSet<JobRun>()
+    private val crashesChanged = LinkedHashSet<JobRun>()
+    private val orphanedCrashRecords = LinkedHashSet<JobId>()
     private val expiredGroups = LinkedHashSet<Long>()
     private val upstreams = LinkedHashMap<UpstreamId, UsedUpstreamRecord?>()
     private var actionsAfterNext = ArrayList<() -> Unit>()
@@ -38,6 +42,16 @@
         if (!job.endHandedToStore) changed += job
     }
 
+    /** Marks the crashes under tasks of [job] for the next batch. */
+    fun crashesChanged(job: JobRun) {
+        if (!job.endHandedToStore) crashesChanged += job
+    }
+
+    /** Marks the crash records of [jobs], which do not exist any more, for deletion. */
+    fun crashesOrphaned(jobs: Collection<JobId>) {
+        orphanedCrashRecords += jobs
+    }
+
     /** Marks the groups [numbers] of finished jobs for deletion. */
     fun groupsExpired(numbers: Set<Long>) {
         expiredGroups += numbers
@@ -66,6 +80,7 @@
     fun withdraw(job: JobRun) {
         submissions -= job
         changed -= job
+        crashesChanged -= job
     }
 
     /** Returns the next batch, or null if one is open or nothing changed. */
@@ -92,15 +107,28 @@
             record(ShardKeyPrefixes.SUBMISSION + it.id, SubmissionRecord.serializer(), it.submission)
         }
         open.mapTo(records) { record(ShardKeyPrefixes.PROGRESS + it.id, ProgressRecord.serializer(), it.progress()) }
+        records += crashRecords()
         records += endRecords(ended)
         upstreams.mapTo(records) { (id, used) ->
             record(ShardKeyPrefixes.UPSTREAM + id, UsedUpstreamRecord.serializer(), used)
         }
-        listOf(submissions, changed, expiredGroups).forEach { it.clear() }
+        listOf(submissions, changed, crashesChanged, orphanedCrashRecords, expiredGroups).forEach { it.clear() }
         upstreams.clear()
         return records
     }
 
+    private fun crashRecords(): List<KeyedRecord> {
+        val records = orphanedCrashRecords.mapTo(ArrayList()) { KeyedRecord(ShardKeyPrefixes.CRASHES + it, null) }
+        crashesChanged.filter { !it.phase.isFinal }.forEach { job ->
+            val value = job.crashRecord()
+            if (value != null || job.hasCrashRecord) {
+                records += record(ShardKeyPrefixes.CRASHES + job.id, CrashRecord.serializer(), value)
+            }
+            job.hasCrashRecord = value != null
+        }
+        return records
+    }
+
     /** Deletes the own records of the jobs that [ended], and stores the jobs in groups instead. */
     private fun endRecords(ended: List<JobRun>): List<KeyedRecord> {
         val records = ArrayList<KeyedRecord>()
@@ -108,6 +136,7 @@
             job.endHandedToStore = true
             records += KeyedRecord(ShardKeyPrefixes.PROGRESS + job.id, null)
             records += KeyedRecord(ShardKeyPrefixes.SUBMISSION + job.id, null)
+            if (job.hasCrashRecord) records += KeyedRecord(ShardKeyPrefixes.CRASHES + job.id, null)
             actionsAfterNext += { onFinished(job) }
         }
         (finished.add(ended.map { it.finished() }) + expiredGroups).mapTo(records) { group ->
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Leases.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Leases.kt
@@ -10,18 +10,39 @@
     private val limits get() = state.limits
 
     /** Maximum duration of a lease on an upstream with a slow clock. */
-    private val maxDuration: Duration =
-        Duration.ofMillis((limits.lease.toMillis() * limits.clockDriftFactor).toLong()).plus(limits.leaseExpiryMargin)
+    private val maxDuration: Duration = withMargins(limits.lease)
+
+    /** The same for a lease whose end was computed from the clock of an earlier incarnation, so that it may be longer. */
+    private val maxDurationAfterRestart: Duration = withMargins(maxOf(limits.lease, limits.maxLease))
+
+    private fun withMargins(lease: Duration): Duration =
+        Duration.ofMillis((lease.toMillis() * limits.clockDriftFactor).toLong()).plus(limits.leaseExpiryMargin)
 
     /** Grants a new lease and returns its end on the clock of [upstream], in milliseconds. */
     fun grant(upstream: Upstream): Long {
         upstream.leasesExpireBy = maxOf(upstream.leasesExpireBy, state.now.plus(maxDuration))
+        upstream.leaseGrantedAt = state.now
         return upstream.clockAt(state.now) + limits.lease.toMillis()
     }
 
     /** True if the leases that this owner granted on [upstream] have expired. */
     fun haveExpired(upstream: Upstream): Boolean = state.now.isAfter(upstream.leasesExpireBy)
 
+    /** The last lease, granted before the restart of [upstream] was seen, may apply to all runs in the new incarnation. */
+    fun restarted(upstream: Upstream) {
+        val longest = upstream.leaseGrantedAt.plus(maxDurationAfterRestart)
+        upstream.leasesExpireBy = maxOf(upstream.leasesExpireBy, longest)
+    }
+
+    /**
+     * True if [run], whose upstream is silent and whose other leases there have expired, is certainly over.
+     *
+     * A start order without an answer may have reached a new incarnation, whose clock is behind the one that the end of
+     * the lease was computed from. The upstream then limits the lease to the longest one that it accepts.
+     */
+    fun isCertainlyOver(run: Run): Boolean =
+        run.isStartAnswered || state.now.isAfter(run.lastStartSentAt.plus(maxDurationAfterRestart))
+
     /** Returns when leases of earlier owners have certainly expired. They may renew them until they have [ended]. */
     fun earlierOwnersExpireBy(ended: Boolean): Instant {
         val renewedFor = if (ended) Duration.ZERO else limits.unconfirmedRenewal
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
@@ -12,6 +12,10 @@
     used: Resources,
     val labels: Set<String> = emptySet(),
     val rack: String? = null,
+    /** Number of restarts that the owner has seen. */
+    val restarts: Int = 0,
+    /** True while a task here is on probation because upstreams crashed under it. */
+    var runsSuspect: Boolean = false,
 ) {
     private var freeCpu = capacity.cpuMillicores - used.cpuMillicores
     private var freeMemory = capacity.memoryMebibytes - used.memoryMebibytes
@@ -80,6 +84,8 @@
     val yieldsCapacity: Boolean = false,
     /** Number of tasks of the step that already run on an upstream. */
     val runningCountOn: (UpstreamId) -> Int,
+    /** Those of [tasks] under which upstreams crashed. */
+    val suspects: Set<Int> = emptySet(),
     /** True for upstreams on which a run of the step failed. */
     val hasFailedOn: (UpstreamId) -> Boolean,
 ) {
@@ -172,18 +178,43 @@
         if (allowed == 0) return
         val usable = targets.filter { demand.allows(it) && it.fitCount(demand.size, 1) == 1 }
         val candidates = usable.map { Candidate(demand, it) }
-        var placed = 0
-        for (task in demand.tasks.take(allowed)) {
-            val chosen = candidates.filter { it.hasCapacity() }.minOrNull() ?: break
-            chosen.allocate()
-            if (demand.hasTickets) placements += Placement(demand, task, chosen.target.id)
-            placed++
-        }
+        val (suspects, others) = demand.tasks.take(allowed).partition { it in demand.suspects }
+        val placed =
+            suspects.count { placeSuspect(demand, it, candidates) } +
+                others
+                    .takeWhile { task ->
+                        place(demand, task, candidates.filter { it.hasCapacity() }.minOrNull())
+                    }.size
         budget.take(demand.workspace, demand.spec.resources, placed)
         if (placed > 0 && !demand.hasTickets) ticketsNeeded += demand
         if (placed < allowed) block(demand)
     }
 
+    private fun place(
+        demand: Demand,
+        task: Int,
+        chosen: Candidate?,
+    ): Boolean {
+        chosen?.allocate() ?: return false
+        if (demand.hasTickets) placements += Placement(demand, task, chosen.target.id)
+        return true
+    }
+
+    /** Suspects do not share an upstream, and run where a crash ends the fewest runs. */
+    private fun placeSuspect(
+        demand: Demand,
+        task: Int,
+        candidates: List<Candidate>,
+    ): Boolean {
+        val chosen =
+            candidates
+                .filter { it.hasCapacity() && !it.target.runsSuspect }
+                // An upstream that crashes for reasons of its own is often the emptiest one.
+                .minWithOrNull(compareBy({ it.target.restarts }, { -it.target.freeMillicores }))
+        chosen?.target?.runsSuspect = true
+        return place(demand, task, chosen)
+    }
+
     /** False for steps that are late or beyond a share, for which no upstream is kept free. */
     private fun mayReserve(rank: Rank): Boolean = rank.lateness == 0 && !rank.beyondShare
 
@@ -219,20 +250,21 @@
         }
     }
 
-    /** An earlier failure on the upstream weighs most, then remote data, then large steps that wait for it. */
+    /** An earlier failure on the upstream weighs most, then remote data, a suspect there, and large waiting steps. */
     private fun penaltyOf(
         demand: Demand,
         target: PlacementTarget,
     ): Int {
         val failed = if (demand.hasFailedOn(target.id)) FAILED_PENALTY else 0
         val remote = if (demand.spec.dataRack != null && target.rack != demand.spec.dataRack) REMOTE_PENALTY else 0
-        val awaited = if (isLarge(demand.size)) 0 else minOf(target.waitingLargeSteps, REMOTE_PENALTY - 1)
-        return failed + remote + awaited
+        val suspect = if (target.runsSuspect) SUSPECT_PENALTY else 0
+        val awaited = if (isLarge(demand.size)) 0 else minOf(target.waitingLargeSteps, SUSPECT_PENALTY - 1)
+        return failed + remote + suspect + awaited
     }
 
     private fun placeGang(demand: Demand) {
         if (withinLimit(demand) < demand.tasks.size) return
-        val usable = targets.filter { demand.allows(it) }
+        val usable = targets.filter { demand.allows(it) && (demand.suspects.isEmpty() || !it.runsSuspect) }
         val chosen = chooseForGang(demand, usable)
         if (chosen == null) {
             reserveTargets(demand, usable)
@@ -240,6 +272,7 @@
             return
         }
         chosen.forEach { it.allocate(demand.size) }
+        if (demand.suspects.isNotEmpty()) chosen.forEach { it.runsSuspect = true }
         budget.take(demand.workspace, demand.spec.resources, demand.tasks.size)
         if (demand.hasTickets) {
             demand.tasks.zip(chosen) { task, target -> placements += Placement(demand, task, target.id) }
@@ -311,7 +344,8 @@
 
         /** A cell with a smaller share of free processors is busy. */
         const val BUSY_FREE_SHARE = 0.5
-        const val REMOTE_PENALTY = 1_000_000
+        const val SUSPECT_PENALTY = 100_000
+        const val REMOTE_PENALTY = 10 * SUSPECT_PENALTY
         const val FAILED_PENALTY = 2 * REMOTE_PENALTY
 
         /** Gangs with a reservation at one time. More reservations would leave upstreams idle for long. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -10,6 +10,7 @@
 import org.anvilbarrow.protocol.jobs.UpstreamOrder
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.UpstreamId
+import java.time.Duration
 import java.time.Instant
 
 /** Starts and stops runs, and tracks their state from the answers and observations of upstreams. */
@@ -18,6 +19,7 @@
     private val leases: Leases,
     private val tasks: TaskOutcomes,
     private val relays: Relays,
+    private val crashes: CrashTracker,
 ) {
     private val limits get() = state.limits
 
@@ -43,7 +45,21 @@
         }
         upstream.add(run)
         state.usage.add(run)
-        sendStart(run, step)
+        if (step.crashes.recordsStart(index)) sendStartOnceRecorded(run, step) else sendStart(run, step)
+    }
+
+    /** A successor that does not know where a task started could not attribute a crash to it. */
+    private fun sendStartOnceRecorded(
+        run: Run,
+        step: StepRun,
+    ) {
+        crashes.beginTrial(run)
+        run.orderInFlight = true
+        state.journal.afterStored {
+            if (run.mayHaveStarted || run.upstream.runs[run.task] !== run) return@afterStored
+            run.orderInFlight = false
+            sendStart(run, step)
+        }
     }
 
     /** All members of a gang resume from the same checkpoint. */
@@ -68,6 +84,7 @@
         if (!relays.isReady(upstream)) return
         run.orderInFlight = true
         run.startAttempts++
+        run.lastStartSentAt = state.now
         relays.send(
             upstream,
             UpstreamOrder.Start(
@@ -92,9 +109,8 @@
         run.orderInFlight = false
         when (result) {
             StartResult.Started -> {
-                run.answeredAt = state.now
                 run.mayStartLate = false
-                if (run.status == Run.Status.STARTING) run.status = Run.Status.STARTED
+                confirmStarted(run)
             }
             StartResult.Displaced if isFromEarlierRelay(order, run.upstream) -> unanswered(run, "its relay has changed")
             StartResult.Displaced -> state.displacedAt(order.upstream)
@@ -114,9 +130,12 @@
         detail: String,
     ) {
         run.mayStartLate = true
+        run.isConnectionBroken = Duration.between(run.lastStartSentAt, state.now) < limits.shortestTimeout
         run.nextOrderAt = state.now.plus(limits.orderRetry)
         state.decided("start-unanswered", run.task, "run ${run.number} on ${run.upstream}: $detail")
-        if (run.startAttempts >= limits.maxStartAttempts) stop(run)
+        // The order may have crashed the upstream, which the next one would do again after a restart.
+        val isSuspect = run.step?.crashes?.isSuspect(run.task.index) == true
+        if (isSuspect || run.startAttempts >= limits.maxStartAttempts) stop(run)
     }
 
     private fun notStarted(
@@ -126,11 +145,7 @@
         state.decided("start-rejected", run.task, "run ${run.number} on ${run.upstream}: $reason")
         when (reason) {
             // An earlier copy of the order may have started the run; the next observation shows whether it did.
-            NotStartedReason.OLD -> {
-                run.answeredAt = state.now
-                if (run.status == Run.Status.STARTING) run.status = Run.Status.STARTED
-                return
-            }
+            NotStartedReason.OLD -> return confirmStarted(run)
             NotStartedReason.TICKET -> run.step?.advice?.validUntil = state.now
             NotStartedReason.UNHEALTHY -> run.upstream.failed(state.now, limits)
             else -> Unit
@@ -138,6 +153,14 @@
         if (run.mayStartLate) stop(run) else lost(run, "not started: $reason")
     }
 
+    /** A run that is being stopped stays unanswered until its stop order is, as only then the order is not repeated. */
+    private fun confirmStarted(run: Run) {
+        run.isStartAnswered = true
+        if (run.status != Run.Status.STARTING) return
+        run.answeredAt = state.now
+        run.status = Run.Status.STARTED
+    }
+
     /** Orders [run] to stop; its resources stay reserved until its end is confirmed. */
     fun stop(run: Run) {
         if (run.status == Run.Status.STOPPING) return
@@ -206,20 +229,29 @@
             .sortedBy { it.number }
             .forEach { ended(upstream, it) }
         val listed = seen.running.associateBy { it.task to it.run }
-        seen.running.forEach { running(upstream, it) }
+        seen.running.forEach { running(upstream, it, sentAt) }
         upstream.runs.values
             .filter { (it.task to it.number) !in listed && it.answeredAt?.isBefore(sentAt) == true }
             .forEach { lost(it, "$upstream no longer reports it") }
     }
 
+    /** Ends the runs whose start order [upstream], which has restarted, may not have received in this incarnation. */
+    fun restarted(upstream: Upstream) {
+        upstream.runs.values
+            .filter { it.status == Run.Status.STARTING }
+            // A repeated start order could crash the upstream once more without a new decision.
+            .forEach { if (it.mayHaveStarted) stop(it) else lost(it, "$upstream restarted before the order was sent") }
+    }
+
     private fun running(
         upstream: Upstream,
         row: RunningTask,
+        sentAt: Instant,
     ) {
         val run = upstream.runs[row.task]
         when {
             run == null -> adopt(upstream, row)
-            run.number == row.run -> progressed(run, row)
+            run.number == row.run -> progressed(run, row, sentAt)
             // Another run of the task: the observation predates the current run, or a delayed order started an old one.
             else -> if (relays.isReady(upstream)) relays.send(upstream, stopOrder(upstream, row.task, row.run))
         }
@@ -228,12 +260,11 @@
     private fun progressed(
         run: Run,
         row: RunningTask,
+        sentAt: Instant,
     ) {
         run.mayStartLate = false
-        if (run.status == Run.Status.STARTING) {
-            run.status = Run.Status.STARTED
-            run.answeredAt = state.now
-        }
+        confirmStarted(run)
+        checkProbation(run, sentAt)
         if (row.percent != run.percent) {
             run.percent = row.percent
             run.progressedAt = state.now
@@ -241,6 +272,16 @@
         if (row.checkpoint.isNotEmpty()) run.step?.checkpoints?.put(run.task.index, row.checkpoint)
     }
 
+    private fun checkProbation(
+        run: Run,
+        sentAt: Instant,
+    ) {
+        val lasted = Duration.between(run.answeredAt ?: return, sentAt)
+        if (!run.hasOutlastedProbation && lasted >= limits.crashProbation) crashes.outlasted(run)
+        val step = run.step?.takeIf { it.spec.longRunning } ?: return
+        if (lasted >= limits.crashForgiveness) crashes.clear(step, run.task.index)
+    }
+
     /** Adopts a run that an earlier owner or a delayed order started, or stops it if the task does not need it. */
     private fun adopt(
         upstream: Upstream,
@@ -258,12 +299,14 @@
                 step?.job?.workspace ?: state.finished[row.task.step.job]?.workspace,
             ).apply {
                 status = Run.Status.STARTED
+                isStartAnswered = true
                 answeredAt = state.now
                 // The start time is unknown; it is approximated from the reported progress.
                 startedAt =
                     state.now.minusMillis((step?.spec?.estimate?.toMillis() ?: 0) * row.percent / Run.COMPLETE_PERCENT)
                 progressedAt = state.now
                 percent = row.percent
+                hasOutlastedProbation = Duration.between(startedAt, state.now) >= limits.crashProbation
             }
         upstream.add(run)
         state.usage.add(run)
@@ -317,6 +360,7 @@
     private fun release(run: Run) {
         run.upstream.remove(run)
         state.usage.remove(run)
+        crashes.endTrial(run)
         run.step?.let { step ->
             if (step.active[run.task.index] === run) step.active -= run.task.index
             step.unwantedRuns -= run
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunMonitor.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunMonitor.kt
@@ -16,7 +16,11 @@
                 when {
                     run.orderInFlight -> Unit
                     run.status == Run.Status.STOPPING && run.answeredAt == null && isOrderDue(run) -> runs.sendStop(run)
-                    run.status == Run.Status.STARTING && isOrderDue(run) -> run.step?.let { runs.sendStart(run, it) }
+                    run.status == Run.Status.STARTING &&
+                        isOrderDue(
+                            run,
+                        ) &&
+                        mayRepeatStart(run) -> run.step?.let { runs.sendStart(run, it) }
                     run.status == Run.Status.STARTED && isStuck(run) -> stopStuck(run)
                 }
             }
@@ -29,6 +33,10 @@
 
     private fun isOrderDue(run: Run): Boolean = !state.now.isBefore(run.nextOrderAt)
 
+    /** A broken connection may mean that the order crashed the upstream, and a repetition would do so once more. */
+    private fun mayRepeatStart(run: Run): Boolean =
+        !run.isConnectionBroken || run.upstream.seenAt?.isAfter(run.lastStartSentAt) == true
+
     private fun isStuck(run: Run): Boolean {
         val step = run.step ?: return false
         return !step.spec.longRunning &&
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/StoredShard.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/StoredShard.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.serialization.KSerializer
+import org.anvilbarrow.protocol.jobs.CrashRecord
 import org.anvilbarrow.protocol.jobs.FinishedJobsRecord
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.ProgressRecord
@@ -18,6 +19,9 @@
     /** Followed by the number of a group of finished jobs. */
     public const val FINISHED: String = "f/"
     public const val UPSTREAM: String = "u/"
+
+    /** Owners of builds that do not know this prefix leave its records as they are. */
+    public const val CRASHES: String = "c/"
 }
 
 /** Decodes the newest record of each key of a shard's topic; keys of malformed ones go to [onUnreadable]. */
@@ -26,17 +30,22 @@
     private val onUnreadable: (key: String) -> Unit,
 ) {
     /** Returns the decoded records, jobs in order of acceptance. */
-    public fun decode(): LoadedShard =
-        LoadedShard(
-            jobs().sortedBy { it.submission.acceptedAtEpochMillis }.toPersistentList(),
+    public fun decode(): LoadedShard {
+        val crashes = records(ShardKeyPrefixes.CRASHES, CrashRecord.serializer())
+        val jobs = jobs(crashes)
+        return LoadedShard(
+            jobs.sortedBy { it.submission.acceptedAtEpochMillis }.toPersistentList(),
             records(ShardKeyPrefixes.UPSTREAM, UsedUpstreamRecord.serializer()).values.toPersistentList(),
             finished().toPersistentMap(),
+            orphanedCrashRecords =
+                (crashes.keys - jobs.map { it.id.value }.toSet()).map(::JobId).toPersistentList(),
         )
+    }
 
-    private fun jobs(): List<LoadedJob> {
+    private fun jobs(crashes: Map<String, CrashRecord>): List<LoadedJob> {
         val progress = records(ShardKeyPrefixes.PROGRESS, ProgressRecord.serializer())
         return records(ShardKeyPrefixes.SUBMISSION, SubmissionRecord.serializer())
-            .map { (id, submission) -> LoadedJob(JobId(id), submission, progress[id]) }
+            .map { (id, submission) -> LoadedJob(JobId(id), submission, progress[id], crashes[id]) }
     }
 
     private fun finished(): Map<Long, FinishedJobsRecord> {
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/TaskOutcomes.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/TaskOutcomes.kt
@@ -8,6 +8,7 @@
 internal class TaskOutcomes(
     private val state: CellState,
     private val jobs: JobController,
+    private val crashes: CrashTracker,
 ) {
     /** Returns the step of [task], or null if the job, step or task is unknown. */
     fun stepOf(task: TaskRef): StepRun? =
@@ -45,6 +46,7 @@
         if (step.spec.gang) step.done.set(0, step.spec.tasks) else step.done.set(index)
         if (step.spec.gang) step.waiting.clear() else step.waiting.clear(index)
         step.checkpoints -= index
+        crashes.clear(step, index)
         jobs.taskDone(step)
     }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
@@ -42,6 +42,9 @@
     /** Start time of the latest observed incarnation. */
     var incarnation: Long? = null
 
+    /** Number of restarts that this owner has seen. */
+    var restarts = 0
+
     /** Number of the last end of a run that was received, and of the last one that is stored. */
     var lastReceivedEnd = 0L
     var lastStoredEnd = 0L
@@ -54,6 +57,7 @@
 
     /** Latest time at which leases granted by this owner can expire. */
     var leasesExpireBy: Instant = Instant.MIN
+    var leaseGrantedAt: Instant = Instant.MIN
 
     /** Clock of the upstream in its last answer, and the time at which that answer arrived. */
     private var clockMillis = 0L
@@ -62,13 +66,13 @@
     private var consecutiveFailures = 0
     private var quarantinedUntil: Instant = Instant.MIN
 
+    /** Largest recorded capacity, which bounds what runs there may use, or null if it is not known. */
+    var largestCapacity: Resources? = null
+
     val capacity: Resources get() = entry?.capacity ?: Resources.NONE
 
     fun readClock(
         millis: Long,
-    /** Largest recorded capacity, which bounds what runs there may use, or null if it is not known. */
-    var largestCapacity: Resources? = null
-
         now: Instant,
     ) {
         clockMillis = millis
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -13,6 +13,7 @@
     private val leases: Leases,
     private val runs: RunController,
     private val relays: Relays,
+    private val crashes: CrashTracker,
 ) {
     private val limits get() = state.limits
 
@@ -23,8 +24,8 @@
             val upstream = Upstream(record.upstream, record.address)
             upstream.isRecorded = true
             upstream.region = record.region
-            upstream.leasesExpireBy = leases.earlierOwnersExpireBy(loaded.earlierOwnersEnded)
             upstream.largestCapacity = record.largestCapacity
+            upstream.leasesExpireBy = leases.earlierOwnersExpireBy(loaded.earlierOwnersEnded)
             state.upstreams[record.upstream] = upstream
             unobserved += record.upstream
         }
@@ -41,8 +42,8 @@
             upstream.region = entry.region
             upstream.address = entry.address
             upstream.isListed = true
-        }
             recordCapacity(upstream, entry)
+        }
         state.upstreams.values.filter { it.isListed && it.id !in byId }.forEach {
             it.isListed = false
             state.decided("upstream-unlisted", it, "${it.runs.size} run(s)")
@@ -61,7 +62,6 @@
         return upstream
     }
 
-    /** The observe request that was sent at [sentAt] ended with [result]. */
     /** Stores a capacity that is larger than those before: a successor bounds the runs that it finds by the largest one. */
     private fun recordCapacity(
         upstream: Upstream,
@@ -74,6 +74,7 @@
         state.journal.upstream(entry.id, UsedUpstreamRecord(entry.id, entry.address, entry.region, largest))
     }
 
+    /** The observe request that was sent at [sentAt] ended with [result]. */
     fun observed(
         order: UpstreamOrder.Observe,
         sentAt: Instant,
@@ -99,10 +100,8 @@
         if (failed > 0) state.decided("upstream-regained", upstream, "$failed observe request(s) failed")
         upstream.failedObservations = 0
         upstream.readClock(seen.clockMillis, state.now)
-        if (upstream.incarnation != seen.incarnation) {
-            if (upstream.incarnation != null) restarted(upstream, seen.incarnation)
-            upstream.startIncarnation(seen.incarnation)
-        }
+        // A report without a start time tells nothing about a restart.
+        seen.incarnation.takeIf { it != Observation.Seen.UNKNOWN_INCARNATION }?.let { checkIncarnation(upstream, it) }
         val first = upstream.seenAt == null
         upstream.seenAt = sentAt
         runs.observed(upstream, sentAt, seen)
@@ -112,7 +111,22 @@
         acknowledgeAfterStored(upstream)
     }
 
-    private fun restarted(
+    private fun checkIncarnation(
+        upstream: Upstream,
+        incarnation: Long,
+    ) {
+        crashes.seen(upstream, incarnation)
+        if (upstream.incarnation == incarnation) return
+        val isRestart = upstream.incarnation != null
+        if (isRestart) logRestart(upstream, incarnation)
+        upstream.startIncarnation(incarnation)
+        if (!isRestart) return
+        upstream.restarts++
+        leases.restarted(upstream)
+        runs.restarted(upstream)
+    }
+
+    private fun logRestart(
         upstream: Upstream,
         incarnation: Long,
     ) {
@@ -166,10 +180,14 @@
     private fun isCertainlyIdle(upstream: Upstream): Boolean =
         leases.haveExpired(upstream) || (!upstream.isListed && upstream.seenAt != null && upstream.runs.isEmpty())
 
-    /** All leases there have expired, so no run of the shard is left. */
+    /** The leases there have expired, so no run of the shard is left but those that may have started late. */
     private fun unreachable(upstream: Upstream) {
-        if (!upstream.isListed) return gone(upstream, "it is not listed and its leases have expired")
-        loseRuns(upstream, "the leases on $upstream have expired")
+        val over = upstream.runs.values.filter(leases::isCertainlyOver)
+        if (!upstream.isListed && over.size == upstream.runs.size) {
+            return gone(upstream, "it is not listed and its leases have expired")
+        }
+        crashes.silent(upstream, over)
+        over.forEach { runs.lost(it, "the leases on $upstream have expired") }
         if (unobserved.remove(upstream.id)) tryCompleteTakeover()
         if (!upstream.observationPending && !state.now.isBefore(upstream.nextObservationAt)) observe(upstream)
     }
@@ -180,7 +198,10 @@
     ) {
         if (!upstream.isLeaving) state.crashedUpstreams++
         state.decided("upstream-gone", upstream, "$reason, ${runsOn(upstream)}")
-        loseRuns(upstream, "$upstream is gone")
+        crashes.gone(upstream)
+        upstream.runs.values
+            .toList()
+            .forEach { runs.lost(it, "$upstream is gone") }
         state.upstreams -= upstream.id
         relays.forget(upstream)
         state.journal.upstream(upstream.id, null)
@@ -188,15 +209,6 @@
         state.dispatchNeeded = true
     }
 
-    private fun loseRuns(
-        upstream: Upstream,
-        reason: String,
-    ) {
-        upstream.runs.values
-            .toList()
-            .forEach { runs.lost(it, reason) }
-    }
-
     private fun tryCompleteTakeover() {
         if (unobserved.isNotEmpty()) return
         state.decided(
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -362,9 +362,15 @@
     /** Notes that an upstream crashed under [tasks]. */
     fun crashed(tasks: List<TaskRef>) {
         crashes++
+        tasks.forEach { crashesUnder.merge(it, 1, Int::plus) }
         invariants.crashed(tasks.filter { crashDelay(it) != null })
     }
 
+    private val crashesUnder = HashMap<TaskRef, Int>()
+
+    /** Returns how many upstreams crashed at most under one task of [job], whatever the reason. */
+    fun maxCrashesUnder(job: String): Int = crashesUnder.filterKeys { it.step.job.value == job }.values.maxOrNull() ?: 0
+
     /** Notes that the capacity of [worker] is about to change. */
     fun resized(worker: FakeWorker): Unit = invariants.resized(worker)
 
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/WorkspaceLimitTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/WorkspaceLimitTest.kt
@@ -7,6 +7,7 @@
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.JobPhase
 import org.anvilbarrow.protocol.jobs.JobRequest
+import org.anvilbarrow.protocol.model.Resources
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -63,6 +64,24 @@
             .containsExactlyInAnyOrder("1.0.0", "2.0.0")
     }
 
+    /** Guards against a successor that bounds what runs on an unobserved upstream by a capacity that has shrunk since. */
+    @Test
+    fun `runs that started under a larger capacity count after a takeover`() {
+        val world = world(2, "a" to 60L)
+        world.submit("1", step(1, cpuMillicores = 60_000, millis = 9_000), workspace = "a")
+        world.run(second)
+        val host = world.workers.values.single { it.running.isNotEmpty() }
+        host.resize(Resources(8_000, 262_144))
+        world.unreachable += host.id
+        world.takeOver()
+        world.submit("2", step(2, cpuMillicores = 20_000, millis = 3_000), workspace = "a")
+        world.run(second)
+        world.unreachable.clear()
+        world.run(second.multipliedBy(30))
+        expectThat(world.phase("2")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(world.violations).isEmpty()
+    }
+
     @Test
     fun `runs on a silent upstream count until their leases have expired`() {
         val world = world(2, "a" to 8L)
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
 import org.anvilbarrow.protocol.codec.decodeOrNull
+import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.UpstreamId
 
 /** State of a job as reported to callers. */
@@ -97,9 +98,9 @@
     /** Address of the upstream's API, as `host:port`. */
     val address: String,
     val region: String? = null,
-)
     /** Largest capacity that an owner of the shard has seen, or null if it was not recorded. */
     val largestCapacity: Resources? = null,
+)
 
 /** Claim of ownership of a shard, or its renewal or release. */
 @Serializable
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/UpstreamReport.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/UpstreamReport.kt
@@ -44,11 +44,16 @@
     public data class Seen(
         /** Time on the upstream's clock when it answered, in milliseconds. */
         val clockMillis: Long,
-        /** Start time of the upstream's process, which identifies its incarnation. */
+        /** Start time of the upstream's process, which identifies its incarnation, or [UNKNOWN_INCARNATION]. */
         @SerialName("life") val incarnation: Long,
         val running: List<RunningTask>,
         val ended: List<EndedTask>,
-    ) : Observation
+    ) : Observation {
+        public companion object {
+            /** Value of [incarnation] if the upstream did not report its start time. */
+            public const val UNKNOWN_INCARNATION: Long = 0
+        }
+    }
 
     /** The upstream has seen a higher fencing token. */
     @Serializable
