--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -50,7 +50,7 @@
      * A reduced capacity has to be respected after the contact time of at least 4 s and one heartbeat.
      */
     val maxListAge: Duration = Duration.ofMillis(3_500),
-    /** Crashes of upstreams under a task after which its job fails, unless another task is more likely to be the reason. */
+    /** Crashes of upstreams under a task after which its job fails, unless another task is more likely the reason. */
     val maxCrashesOfPrimeSuspect: Int = 3,
     /** Crashes of upstreams under a task after which its job fails in any case. */
     val maxCrashes: Int = 4,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CrashTracker.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CrashTracker.kt
@@ -2,7 +2,7 @@
 
 import org.anvilbarrow.protocol.jobs.UpstreamIncarnation
 
-/** Attributes crashes of upstreams to the tasks that ran there, and fails jobs whose tasks crash upstream after upstream. */
+/** Attributes crashes of upstreams to the tasks that ran there, and fails jobs whose tasks keep crashing them. */
 internal class CrashTracker(
     private val state: CellState,
     private val jobs: JobController,
@@ -78,7 +78,7 @@
         attribute(upstream)
     }
 
-    /** Settles the open cases of [upstream]: each is a crash, unless the incarnation [isAlive] or was about to leave. */
+    /** Settles the open cases of [upstream]: each is a crash, unless it [isAlive] or had announced that it leaves. */
     private fun settle(
         upstream: Upstream,
         isAlive: (UpstreamIncarnation) -> Boolean,
@@ -106,7 +106,9 @@
     private fun attribute(upstream: Upstream) {
         val incarnation = incarnationOf(upstream) ?: return
         if (upstream.isLeaving) return
-        forEachSuspect(upstream.runs.values) { step, index, isPrime -> crashedUnder(step, index, incarnation, isPrime) }
+        forEachSuspect(upstream.runs.values) { step, index, isPrime ->
+            crashedUnder(step, index, incarnation, isPrime)
+        }
     }
 
     private fun forEachSuspect(
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -232,8 +232,10 @@
     var startAttempts = 0
     var nextOrderAt: Instant = Instant.MIN
 
-    /** When the last start order was sent, and whether the upstream is known to have received one in its incarnation. */
+    /** When the last start order was sent. */
     var lastStartSentAt: Instant = Instant.MIN
+
+    /** True if the upstream has confirmed that it received a start order. */
     var isStartAnswered = false
 
     /** True if the last start order ended without an answer before its timeout. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Leases.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Leases.kt
@@ -12,7 +12,7 @@
     /** Maximum duration of a lease on an upstream with a slow clock. */
     private val maxDuration: Duration = withMargins(limits.lease)
 
-    /** The same for a lease whose end was computed from the clock of an earlier incarnation, so that it may be longer. */
+    /** The same for a lease whose end was computed from the clock of an earlier incarnation, which may be longer. */
     private val maxDurationAfterRestart: Duration = withMargins(maxOf(limits.lease, limits.maxLease))
 
     private fun withMargins(lease: Duration): Duration =
@@ -28,7 +28,7 @@
     /** True if the leases that this owner granted on [upstream] have expired. */
     fun haveExpired(upstream: Upstream): Boolean = state.now.isAfter(upstream.leasesExpireBy)
 
-    /** The last lease, granted before the restart of [upstream] was seen, may apply to all runs in the new incarnation. */
+    /** The last lease granted before the restart of [upstream] was seen may apply to all runs there. */
     fun restarted(upstream: Upstream) {
         val longest = upstream.leaseGrantedAt.plus(maxDurationAfterRestart)
         upstream.leasesExpireBy = maxOf(upstream.leasesExpireBy, longest)
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -62,7 +62,7 @@
         return upstream
     }
 
-    /** Stores a capacity that is larger than those before: a successor bounds the runs that it finds by the largest one. */
+    /** Stores a capacity that is larger than those before, by which a successor bounds the runs that it finds. */
     private fun recordCapacity(
         upstream: Upstream,
         entry: UpstreamEntry,
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/WorkspaceLimitTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/WorkspaceLimitTest.kt
@@ -64,7 +64,7 @@
             .containsExactlyInAnyOrder("1.0.0", "2.0.0")
     }
 
-    /** Guards against a successor that bounds what runs on an unobserved upstream by a capacity that has shrunk since. */
+    /** Guards against a successor that bounds runs which it has not observed by a capacity that has shrunk since. */
     @Test
     fun `runs that started under a larger capacity count after a takeover`() {
         val world = world(2, "a" to 60L)
