--- a/standins/src/main/kotlin/org/anvilbarrow/standins/upstream/AuditBook.kt
+++ b/standins/src/main/kotlin/org/anvilbarrow/standins/upstream/AuditBook.kt
@@ -21,7 +21,7 @@
     ) {
         starts += record
         runs.merge(record.requestId, 1, Int::plus)
-        highest = highest.largerOf(committed)
+        highest = highest.maxWith(committed)
         if (!committed.fitsIn(capacity)) overfills += 1
     }
 
@@ -47,13 +47,4 @@
             startCount = starts.size.toLong(),
             starts = starts.drop(fromStart).take(UpstreamAudit.MAX_STARTS),
         )
-
-    private fun Resources.largerOf(other: Resources): Resources =
-        Resources(
-            maxOf(cpuMillicores, other.cpuMillicores),
-            maxOf(memoryMebibytes, other.memoryMebibytes),
-            maxOf(accelerators, other.accelerators),
-            maxOf(slots, other.slots),
-            maxOf(connections, other.connections),
-        )
 }
