--- a/review/harness/Worker.java
+++ b/review/harness/Worker.java
@@ -51,6 +51,11 @@
         void onStart(Worker worker, String task, long run);
     }
 
+    interface HoldHook {
+        /** Called with each hold call before it is handled; {@code stopped} is the task of the last stop order, or null. */
+        void onHold(Worker worker, String stopped, long waitMillis);
+    }
+
     final String id;
     private final Settings settings;
     private final Store store;
@@ -60,6 +65,8 @@
     /** All runs of all lives, in the order of their starts. */
     private final List<Run> all;
     private volatile StartHook hook = (worker, task, run) -> { };
+    private volatile HoldHook holdHook = (worker, stopped, wait) -> { };
+    private volatile String lastStopped;
     private int life = 0;
     private long bornAt = Record.millis();
     private long bornUnix = System.currentTimeMillis();
@@ -85,6 +92,7 @@
         this.record = record;
         this.all = all;
         http = new Http(this::handle);
+        register();
         Http.daemon(this::heartbeat);
         Http.daemon(this::work);
     }
@@ -93,6 +101,10 @@
         hook = newHook;
     }
 
+    void onHold(HoldHook newHook) {
+        holdHook = newHook;
+    }
+
     /** The machine loses power; what ran is gone. */
     synchronized void losePower() {
         http.losePower();
@@ -128,26 +140,27 @@
 
     private void heartbeat() {
         while (true) {
-            synchronized (this) {
-                if (!dark && !store.down) {
-                    Map<String, Object> entry = new LinkedHashMap<>();
-                    entry.put("service", settings.service());
-                    entry.put("address", http.address());
-                    entry.put("zone", settings.zone());
-                    entry.put("version", "1");
-                    entry.put("slots", 8);
-                    entry.put("state", "ready");
-                    entry.put("capacity", Map.of("cpu", settings.cpu(), "mem_mb", settings.memory()));
-                    entry.put("labels", settings.labels());
-                    entry.put("born", bornUnix);
-                    entry.put("seq", ++sequence);
-                    store.put("keyed.servers", id, entry);
-                }
-            }
             sleep(HEARTBEAT_MILLIS);
+            register();
         }
     }
 
+    private synchronized void register() {
+        if (dark || store.down) return;
+        Map<String, Object> entry = new LinkedHashMap<>();
+        entry.put("service", settings.service());
+        entry.put("address", http.address());
+        entry.put("zone", settings.zone());
+        entry.put("version", "1");
+        entry.put("slots", 8);
+        entry.put("state", "ready");
+        entry.put("capacity", Map.of("cpu", settings.cpu(), "mem_mb", settings.memory()));
+        entry.put("labels", settings.labels());
+        entry.put("born", bornUnix);
+        entry.put("seq", ++sequence);
+        store.put("keyed.servers", id, entry);
+    }
+
     private static void sleep(long millis) {
         try {
             Thread.sleep(millis);
@@ -191,6 +204,7 @@
         if (request.path().equals("/v1/run-start")) {
             hook.onStart(this, (String) body.get("task"), Json.number(body, "run_id", 0));
         }
+        if (request.path().equals("/v1/hold")) holdHook.onHold(this, lastStopped, Json.number(body, "wait_ms", 0));
         synchronized (this) {
             if (dark) return null;
             long token = Json.number(body, "fencing_token", 0);
@@ -241,6 +255,7 @@
         String task = (String) body.get("task");
         long number = Json.number(body, "run_id", 0);
         closed.merge(task, number, Math::max);
+        lastStopped = task;
         for (Run run : running) {
             if (run.task.equals(task) && run.number == number) {
                 run.result = "stopped";
