Count a crash under a task only with evidence that the task ran there

Callers saw a job as failed ("ran on 3 upstreams that crashed") whose task had never been started: orders that met upstreams which were down already counted as crashes (LOST).

Cause: CrashTracker counted every run for which an order was sent. An order without an answer is no evidence, as an upstream is taken for alive for 0.9 s after it fell silent. Trials recorded before a takeover and runs stopped before their order was sent counted as well.

Each crash now has an evidence, and only proven or likely ones fail a job. A suspect is started only after its upstream answered a stop order for the run number below, so that an upstream that is down gets no order. Records of crashes have new fields with defaults; the build before ignores them.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CrashTracker.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CrashTracker.kt
@@ -1,6 +1,8 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.protocol.jobs.Observation
 import org.anvilbarrow.protocol.jobs.UpstreamIncarnation
+import java.time.Instant
 
 /** Attributes crashes of upstreams to the tasks that ran there, and fails jobs whose tasks keep crashing them. */
 internal class CrashTracker(
@@ -11,6 +13,7 @@
         val step: StepRun,
         val index: Int,
         val incarnation: UpstreamIncarnation,
+        val evidence: CrashEvidence,
         val isPrimeSuspect: Boolean,
     )
 
@@ -31,19 +34,20 @@
             if (index !in 0 until step.spec.tasks || step.done.get(index)) return@forEach
             step.crashes.restore(task)
             val trial = task.trial ?: return@forEach
-            state.upstreams[trial.upstream]?.let { open(it, step, index, trial, isPrimeSuspect = false) }
+            state.upstreams[trial.upstream]?.let {
+                // A suspect is on trial alone, so that no other task there is more likely the reason.
+                val isSuspect = step.crashes.isSuspect(index)
+                open(it, OpenCase(step, index, trial, StepCrashes.evidenceOfTrial(task), isSuspect))
+            }
         }
     }
 
     private fun open(
         upstream: Upstream,
-        step: StepRun,
-        index: Int,
-        incarnation: UpstreamIncarnation,
-        isPrimeSuspect: Boolean,
+        case: OpenCase,
     ) {
-        step.crashes.suspect(index, incarnation)
-        openCases.getOrPut(upstream, ::ArrayList) += OpenCase(step, index, incarnation, isPrimeSuspect)
+        case.step.crashes.suspect(case.index, case.incarnation)
+        openCases.getOrPut(upstream, ::ArrayList) += case
     }
 
     /** The start of [run] is to be stored. */
@@ -55,6 +59,15 @@
         state.journal.crashesChanged(step.job)
     }
 
+    /** A crash of the upstream of [run] would count with [evidence] from now on, also for a successor. */
+    fun trialAdvanced(
+        run: Run,
+        evidence: CrashEvidence,
+    ) {
+        val step = run.step ?: return
+        if (step.crashes.trialAdvanced(run.task.index, evidence)) state.journal.crashesChanged(step.job)
+    }
+
     /** [run] no longer exists; its upstream did not crash, or the crash is counted already. */
     fun endTrial(run: Run) {
         state.suspectRuns -= run
@@ -62,20 +75,29 @@
         if (step.crashes.endTrial(run.task.index)) state.journal.crashesChanged(step.job)
     }
 
-    /** Settles the open cases of [upstream], which was seen in [incarnation]. Called before it takes effect there. */
+    /**
+     * Settles the open cases of [upstream], which was [seen] by a request sent at [sentAt].
+     *
+     * Called before a new incarnation takes effect there. Runs that the new incarnation lists, or may have received
+     * since, did not exist when the earlier one crashed.
+     */
     fun seen(
         upstream: Upstream,
-        incarnation: Long,
+        sentAt: Instant,
+        seen: Observation.Seen,
     ) {
-        val current = UpstreamIncarnation(upstream.id, incarnation)
+        val current = UpstreamIncarnation(upstream.id, seen.incarnation)
         settle(upstream) { it == current }
-        if (upstream.incarnation != null && upstream.incarnation != incarnation) attribute(upstream)
+        if (upstream.incarnation == null || upstream.incarnation == seen.incarnation) return
+        val listed = seen.running.mapTo(HashSet()) { it.run to it.task }
+        seen.ended.mapTo(listed) { it.run to it.task }
+        attribute(upstream) { (it.number to it.task) !in listed && it.lastStartSentAt.isBefore(sentAt) }
     }
 
     /** [upstream] is gone for good. */
     fun gone(upstream: Upstream) {
         settle(upstream) { false }
-        attribute(upstream)
+        attribute(upstream) { true }
     }
 
     /** Settles the open cases of [upstream]: each is a crash, unless it [isAlive] or had announced that it leaves. */
@@ -88,7 +110,7 @@
                 it.step.crashes.rebut(it.index, it.incarnation)
                 state.dispatchNeeded = true
             } else {
-                crashedUnder(it.step, it.index, it.incarnation, it.isPrimeSuspect)
+                crashedUnder(it)
             }
         }
     }
@@ -98,36 +120,76 @@
         upstream: Upstream,
         runs: List<Run>,
     ) {
-        val incarnation = incarnationOf(upstream) ?: return
-        forEachSuspect(runs) { step, index, isPrime -> open(upstream, step, index, incarnation, isPrime) }
+        casesOf(upstream, runs).forEach { open(upstream, it) }
     }
 
-    /** Counts a crash for each task that ran on [upstream], unless it had announced that it leaves. */
-    private fun attribute(upstream: Upstream) {
-        val incarnation = incarnationOf(upstream) ?: return
+    /** Counts a crash for each task that [mayHaveRun] on [upstream], unless it had announced that it leaves. */
+    private fun attribute(
+        upstream: Upstream,
+        mayHaveRun: (Run) -> Boolean,
+    ) {
         if (upstream.isLeaving) return
-        forEachSuspect(upstream.runs.values) { step, index, isPrime ->
-            crashedUnder(step, index, incarnation, isPrime)
-        }
+        casesOf(upstream, upstream.runs.values.filter(mayHaveRun)).forEach(::crashedUnder)
     }
 
-    private fun forEachSuspect(
+    private fun casesOf(
+        upstream: Upstream,
         runs: Collection<Run>,
-        action: (step: StepRun, index: Int, isPrimeSuspect: Boolean) -> Unit,
-    ) {
-        val affected = runs.filter { it.mayHaveStarted && !it.isCrashAttributed }
+    ): List<OpenCase> {
+        val incarnation = incarnationOf(upstream) ?: return emptyList()
+        val affected = runs.filter { (it.isStartAnswered || it.startAttempts > 0) && !it.isCrashAttributed }
         affected.forEach { it.isCrashAttributed = true }
         val present = withoutLaterOrders(affected)
         // Decided before any crash is counted, as each count changes the comparison.
-        val prime = present.filterTo(HashSet()) { isPrimeSuspect(it, present) }
-        present.forEach { run -> run.step?.let { action(it, run.task.index, run in prime) } }
+        return present.mapNotNull { run ->
+            run.step?.let {
+                OpenCase(it, run.task.index, incarnation, evidenceOf(run, present), isPrimeSuspect(run, present))
+            }
+        }
     }
 
+    /**
+     * Returns how certain it is that [run] existed on its upstream when that crashed.
+     *
+     * An order without an answer counts only if no earlier one in [present] can have crashed the upstream. One that
+     * timed out may have met an upstream that was down already, or may have been late, so the upstream must have
+     * answered immediately before it.
+     */
+    private fun evidenceOf(
+        run: Run,
+        present: List<Run>,
+    ): CrashEvidence =
+        when {
+            run.isStartAnswered && run.upstream.fellSilent -> run.step?.let(::evidenceUnseen) ?: CrashEvidence.NONE
+            run.isStartAnswered -> CrashEvidence.PROVEN
+            hasOutlived(run) || present.any { isEarlierUnanswered(it, run) } -> CrashEvidence.NONE
+            run.isConnectionBroken -> CrashEvidence.PROVEN
+            run.isUpstreamChecked -> CrashEvidence.LIKELY
+            else -> CrashEvidence.NONE
+        }
+
+    /** A run may have ended while its upstream could not be observed before the crash. */
+    private fun evidenceUnseen(step: StepRun): CrashEvidence =
+        if (step.spec.longRunning) CrashEvidence.PROVEN else CrashEvidence.LIKELY
+
+    /** Of the orders for one step that were sent together, the one for the lowest index is the earliest. */
+    private fun isEarlierUnanswered(
+        other: Run,
+        run: Run,
+    ): Boolean =
+        when {
+            other === run || other.isStartAnswered || other.lastStartSentAt.isAfter(run.lastStartSentAt) -> false
+            other.lastStartSentAt == run.lastStartSentAt && other.step === run.step -> other.task.index < run.task.index
+            else -> true
+        }
+
+    /** True if the upstream was observed after the start order of [run] was sent. */
+    private fun hasOutlived(run: Run): Boolean = run.upstream.seenAt?.isAfter(run.lastStartSentAt) == true
+
     /** Of the orders that met a broken connection only the first may have reached the upstream, before it crashed. */
     private fun withoutLaterOrders(runs: List<Run>): List<Run> {
         val (broken, others) = runs.partition { !it.isStartAnswered && it.isConnectionBroken }
-        // The upstream outlived the orders that were sent before its last observation.
-        val open = broken.filter { it.upstream.seenAt?.isAfter(it.lastStartSentAt) != true }
+        val open = broken.filter { !hasOutlived(it) }
         val first = open.minOfOrNull { it.lastStartSentAt }
         return others + open.filter { it.lastStartSentAt == first }
     }
@@ -140,26 +202,32 @@
 
     /** Runs that have outlasted the probation are less suspicious than any other, then earlier crashes count. */
     private fun suspicion(run: Run): Int {
-        val crashes = run.step?.crashes?.confirmedCount(run.task.index) ?: 0
+        val crashes = run.step?.crashes?.crashCount(run.task.index) ?: 0
         return if (run.hasOutlastedProbation) crashes - state.limits.maxCrashes else crashes
     }
 
     private fun incarnationOf(upstream: Upstream): UpstreamIncarnation? =
         upstream.incarnation?.let { UpstreamIncarnation(upstream.id, it) }
 
-    private fun crashedUnder(
-        step: StepRun,
-        index: Int,
-        incarnation: UpstreamIncarnation,
-        isPrimeSuspect: Boolean,
-    ) {
+    /** Counts a crash, and fails the job once there are enough; crashes without evidence never fail it. */
+    private fun crashedUnder(case: OpenCase) {
+        val step = case.step
+        val index = case.index
         if (step.job.phase.isFinal || step.done.get(index)) return
-        step.crashes.confirm(index, incarnation)
+        step.crashes.crashed(index, case.incarnation, case.evidence)
         state.journal.crashesChanged(step.job)
-        val count = step.crashes.confirmedCount(index)
-        state.decided("task-suspected", "$step.$index", "$incarnation crashed under it, $count crash(es)")
-        if (count < if (isPrimeSuspect) state.limits.maxCrashesOfPrimeSuspect else state.limits.maxCrashes) return
-        jobs.fail(step.job, "task $index of step ${step.ref.step} ran on $count upstreams that crashed")
+        state.dispatchNeeded = true
+        val count = step.crashes.crashCount(index)
+        val proven = step.crashes.crashCount(index, CrashEvidence.PROVEN)
+        val likely = step.crashes.crashCount(index, CrashEvidence.LIKELY)
+        state.decided(
+            "task-suspected",
+            "$step.$index",
+            "${case.incarnation} crashed under it, evidence ${case.evidence}, $count crash(es), $proven proven",
+        )
+        val limit = if (case.isPrimeSuspect) state.limits.maxCrashesOfPrimeSuspect else state.limits.maxCrashes
+        if (proven < limit && likely < state.limits.maxCrashes) return
+        jobs.fail(step.job, "task $index of step ${step.ref.step} ran on $likely upstreams that crashed")
     }
 
     /** [run] has lasted for [CellLimits.crashProbation]. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -240,6 +240,12 @@
 
     /** True if the last start order ended without an answer before its timeout. */
     var isConnectionBroken = false
+
+    /** True while the upstream is asked whether it is alive, before the start order is sent. */
+    var isCheckInFlight = false
+
+    /** True if the upstream answered immediately before the last start order was sent. */
+    var isUpstreamChecked = false
     var percent = 0
     var progressedAt: Instant = Instant.MIN
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -82,9 +82,11 @@
     ) {
         val upstream = run.upstream
         if (!relays.isReady(upstream)) return
+        if (step.crashes.isSuspect(run.task.index) && !run.isUpstreamChecked) return sendCheck(run)
         run.orderInFlight = true
         run.startAttempts++
         run.lastStartSentAt = state.now
+        if (run.isUpstreamChecked) crashes.trialAdvanced(run, CrashEvidence.LIKELY)
         relays.send(
             upstream,
             UpstreamOrder.Start(
@@ -101,6 +103,42 @@
         )
     }
 
+    /**
+     * Asks the upstream whether it is alive, to tell a crash after an unanswered start order from one before it.
+     *
+     * The check stops all earlier runs of the task there, which has no effect unless one of them was started late.
+     */
+    private fun sendCheck(run: Run) {
+        run.orderInFlight = true
+        run.isCheckInFlight = true
+        relays.send(run.upstream, stopOrder(run.upstream, run.task, run.number - 1))
+    }
+
+    private fun checkReturned(
+        run: Run,
+        order: UpstreamOrder.Stop,
+        result: StopResult,
+    ) {
+        run.isCheckInFlight = false
+        // A stop order is under way in the meantime.
+        if (run.status != Run.Status.STARTING) return
+        run.orderInFlight = false
+        run.nextOrderAt = state.now.plus(limits.orderRetry)
+        when (result) {
+            StopResult.ACCEPTED -> {
+                run.isUpstreamChecked = relays.isReady(run.upstream)
+                run.step?.takeIf { run.isUpstreamChecked }?.let { sendStart(run, it) }
+            }
+            StopResult.DISPLACED if isFromEarlierRelay(order, run.upstream) -> Unit
+            StopResult.DISPLACED -> state.displacedAt(order.upstream)
+            StopResult.OTHER_UPSTREAM, StopResult.UNANSWERED -> {
+                // Unusable until the next observe request succeeds.
+                run.upstream.unanswered(timedOut = true)
+                if (!run.mayHaveStarted) lost(run, "${run.upstream} did not answer before the start order")
+            }
+        }
+    }
+
     fun startReturned(
         order: UpstreamOrder.Start,
         result: StartResult,
@@ -131,6 +169,7 @@
     ) {
         run.mayStartLate = true
         run.isConnectionBroken = Duration.between(run.lastStartSentAt, state.now) < limits.shortestTimeout
+        if (run.isConnectionBroken && run.isUpstreamChecked) crashes.trialAdvanced(run, CrashEvidence.PROVEN)
         run.nextOrderAt = state.now.plus(limits.orderRetry)
         state.decided("start-unanswered", run.task, "run ${run.number} on ${run.upstream}: $detail")
         // The order may have crashed the upstream, which the next one would do again after a restart.
@@ -156,6 +195,7 @@
     /** A run that is being stopped stays unanswered until its stop order is, as only then the order is not repeated. */
     private fun confirmStarted(run: Run) {
         run.isStartAnswered = true
+        crashes.trialAdvanced(run, CrashEvidence.PROVEN)
         if (run.status != Run.Status.STARTING) return
         run.answeredAt = state.now
         run.status = Run.Status.STARTED
@@ -192,6 +232,8 @@
         order: UpstreamOrder.Stop,
         result: StopResult,
     ) {
+        val checked = currentRun(order.upstream, order.task, order.run + 1)?.takeIf { it.isCheckInFlight }
+        if (checked != null) return checkReturned(checked, order, result)
         val run = currentRun(order.upstream, order.task, order.run) ?: return
         run.orderInFlight = false
         when (result) {
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
@@ -54,6 +54,11 @@
     var observationPending = false
     var nextObservationAt: Instant = Instant.MIN
     var failedObservations = 0
+        private set
+
+    /** True if the upstream fell silent without breaking off a connection: it may only have been cut off at first. */
+    var fellSilent = false
+        private set
 
     /** Latest time at which leases granted by this owner can expire. */
     var leasesExpireBy: Instant = Instant.MIN
@@ -71,6 +76,16 @@
 
     val capacity: Resources get() = entry?.capacity ?: Resources.NONE
 
+    /** Records that a request got no answer; [timedOut] tells that its connection was not broken off either. */
+    fun unanswered(timedOut: Boolean) {
+        if (failedObservations == 0) fellSilent = timedOut
+        failedObservations++
+    }
+
+    fun answered() {
+        failedObservations = 0
+    }
+
     fun readClock(
         millis: Long,
         now: Instant,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -84,10 +84,11 @@
         upstream.observationPending = false
         when (result) {
             is Observation.Seen -> seen(upstream, sentAt, result)
-            Observation.Displaced if order.token < state.tokenFor(upstream) -> failed(upstream, "its relay has changed")
+            Observation.Displaced if order.token < state.tokenFor(upstream) ->
+                failed(upstream, sentAt, "its relay has changed")
             Observation.Displaced -> state.displacedAt(upstream.id)
             Observation.OtherUpstream -> gone(upstream, "its address belongs to another upstream")
-            is Observation.Failed -> failed(upstream, result.reason)
+            is Observation.Failed -> failed(upstream, sentAt, result.reason)
         }
     }
 
@@ -98,10 +99,10 @@
     ) {
         val failed = upstream.failedObservations
         if (failed > 0) state.decided("upstream-regained", upstream, "$failed observe request(s) failed")
-        upstream.failedObservations = 0
+        upstream.answered()
         upstream.readClock(seen.clockMillis, state.now)
         // A report without a start time tells nothing about a restart.
-        seen.incarnation.takeIf { it != Observation.Seen.UNKNOWN_INCARNATION }?.let { checkIncarnation(upstream, it) }
+        if (seen.incarnation != Observation.Seen.UNKNOWN_INCARNATION) checkIncarnation(upstream, sentAt, seen)
         val first = upstream.seenAt == null
         upstream.seenAt = sentAt
         runs.observed(upstream, sentAt, seen)
@@ -113,9 +114,11 @@
 
     private fun checkIncarnation(
         upstream: Upstream,
-        incarnation: Long,
+        sentAt: Instant,
+        seen: Observation.Seen,
     ) {
-        crashes.seen(upstream, incarnation)
+        val incarnation = seen.incarnation
+        crashes.seen(upstream, sentAt, seen)
         if (upstream.incarnation == incarnation) return
         val isRestart = upstream.incarnation != null
         if (isRestart) logRestart(upstream, incarnation)
@@ -156,9 +159,10 @@
 
     private fun failed(
         upstream: Upstream,
+        sentAt: Instant,
         reason: String,
     ) {
-        upstream.failedObservations++
+        upstream.unanswered(timedOut = Duration.between(sentAt, state.now) >= limits.shortestTimeout)
         if (upstream.failedObservations == 1) state.decided("upstream-unreachable", upstream, reason)
         upstream.nextObservationAt = state.now.plus(limits.observeRetry)
     }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -73,6 +73,19 @@
     /** Upstreams that the owner cannot reach. */
     val unreachable = HashSet<UpstreamId>()
 
+    /** Cuts the power of [worker] for [darkTime]: calls there time out, and then it returns as a new incarnation. */
+    fun losePower(
+        worker: FakeWorker,
+        darkTime: Duration,
+    ) {
+        worker.crash(darkTime)
+        dark += worker.id
+        after(darkTime) { dark -= worker.id }
+    }
+
+    /** Upstreams without power: a call there gets no answer, and no error before its timeout. */
+    private val dark = HashSet<UpstreamId>()
+
     /** Share of start orders that are not answered and take effect only after [lateBy]. */
     var lateShare = 0.0
     var lateBy: Duration = Duration.ofSeconds(3)
@@ -92,10 +105,11 @@
     val startTimes = ArrayList<Instant>()
     val specs = HashMap<JobId, JobSpec>()
 
-    /** An order and the process through which it was sent. */
+    /** An order, the process through which it was sent, and the time from the start of the simulation until then. */
     class Call(
         val via: String,
         val order: UpstreamOrder,
+        val sentAfter: Duration,
     )
 
     val calls = ArrayList<Call>()
@@ -238,7 +252,7 @@
             is CellEffect.Store -> append(effect, from)
             is CellEffect.Advise -> advise(effect, from)
             is CellEffect.Order -> {
-                calls += Call(effect.via, effect.order)
+                calls += Call(effect.via, effect.order, Duration.between(START, now))
                 execute(effect.order, from)
             }
         }
@@ -322,7 +336,7 @@
             val worker = workers.getValue(order.upstream)
             val incarnation = worker.incarnation
             // An order that an upstream has received ends with the process that received it.
-            after(lateBy) { if (worker.incarnation == incarnation) worker.start(order) }
+            after(lateBy) { if (worker.incarnation == incarnation && !worker.isDown) worker.start(order) }
             after(TIMEOUT) { reply(from) { CellEvent.Reported(order, sentAt, order.unanswered("late")) } }
             return
         }
@@ -336,11 +350,10 @@
         call: (FakeWorker?) -> UpstreamReport,
     ) {
         val sentAt = now
-        if (order.upstream in unreachable) {
-            after(TIMEOUT) { if (from === owner) deliver(CellEvent.Reported(order, sentAt, call(null))) }
-            return
-        }
+        val timeOut = { after(TIMEOUT) { if (from === owner) deliver(CellEvent.Reported(order, sentAt, call(null))) } }
+        if (order.upstream in unreachable) return timeOut()
         after(latency.plus(wait)) {
+            if (order.upstream in dark) return@after timeOut()
             val reached = workers[order.upstream].takeIf { order.upstream !in unreachable && it?.isDown == false }
             val answered = call(reached)
             // A crash closes the connection before the answer is sent.
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/RecordCompatibilityTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/RecordCompatibilityTest.kt
@@ -1,7 +1,12 @@
 package org.anvilbarrow.kernel.jobs
 
 import kotlinx.serialization.Serializable
+import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.RecordCodec
+import org.anvilbarrow.protocol.jobs.StepRef
+import org.anvilbarrow.protocol.jobs.TaskCrashes
+import org.anvilbarrow.protocol.jobs.TaskRef
+import org.anvilbarrow.protocol.jobs.UpstreamIncarnation
 import org.anvilbarrow.protocol.jobs.UsedUpstreamRecord
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.UpstreamId
@@ -37,4 +42,40 @@
         val bytes = RecordCodec.encode(UsedUpstreamRecord.serializer(), record)
         expectThat(RecordCodec.decode(EarlierUsedUpstream.serializer(), bytes)).isEqualTo(earlier)
     }
+
+    /** The record of crashes under a task as of commit 5e811cc. */
+    @Serializable
+    private data class EarlierTaskCrashes(
+        val task: TaskRef,
+        val crashed: Set<UpstreamIncarnation> = emptySet(),
+        val trial: UpstreamIncarnation? = null,
+    )
+
+    private val incarnation = UpstreamIncarnation(UpstreamId("w0"), 1)
+    private val task = TaskRef(StepRef(JobId("a"), 0, 0), 0)
+
+    /** Guards against a start of an earlier build that counts as a crash, although it may not have been sent. */
+    @Test
+    fun `a trial without proof that it reached its upstream is readable`() {
+        val earlierCrashes = EarlierTaskCrashes(task, setOf(incarnation), incarnation)
+        val bytes = RecordCodec.encode(EarlierTaskCrashes.serializer(), earlierCrashes)
+        expectThat(RecordCodec.decode(TaskCrashes.serializer(), bytes))
+            .isEqualTo(TaskCrashes(task, setOf(incarnation), incarnation))
+    }
+
+    @Test
+    fun `the build before reads crashes with their proof`() {
+        val record =
+            TaskCrashes(
+                task,
+                setOf(incarnation),
+                incarnation,
+                setOf(incarnation),
+                setOf(incarnation),
+                trialProven = true,
+            )
+        val bytes = RecordCodec.encode(TaskCrashes.serializer(), record)
+        expectThat(RecordCodec.decode(EarlierTaskCrashes.serializer(), bytes))
+            .isEqualTo(EarlierTaskCrashes(task, setOf(incarnation), incarnation))
+    }
 }
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/CrashRecord.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/CrashRecord.kt
@@ -17,6 +17,14 @@
     val crashed: Set<UpstreamIncarnation> = emptySet(),
     /** Incarnation on which the latest run of the task was to start, or null if that run has ended. */
     val trial: UpstreamIncarnation? = null,
+    /** Incarnations that crashed, and answered immediately before the order to start the task was sent. */
+    val likely: Set<UpstreamIncarnation> = emptySet(),
+    /** Incarnations that crashed, but may never have received the order to start the task. */
+    val unproven: Set<UpstreamIncarnation> = emptySet(),
+    /** True if a crash of the upstream of [trial] counts as one of [crashed]. */
+    val trialProven: Boolean = false,
+    /** True if a crash of the upstream of [trial] counts as one of [likely]. */
+    val trialLikely: Boolean = false,
 )
 
 /** One incarnation of an upstream, from a start of its process to its end. */
