Take the absence of a run from a cut list as no evidence

Callers saw tasks that were done run a second time after an outage of the store (TWICE).

Cause: an upstream lists at most 500 ends at a time, and ends pile up while the store is down, as they are acknowledged only once they are stored. A run in neither list counted as lost, also for a new owner.

An observation now says whether rows may be missing. Runs that it lacks stay as they are, and a new owner waits for a complete one. The field has a default, so that processes of the build before read it and are read.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -272,9 +272,13 @@
             .forEach { ended(upstream, it) }
         val listed = seen.running.associateBy { it.task to it.run }
         seen.running.forEach { running(upstream, it, sentAt) }
-        upstream.runs.values
-            .filter { (it.task to it.number) !in listed && it.answeredAt?.isBefore(sentAt) == true }
-            .forEach { lost(it, "$upstream no longer reports it") }
+        val missing =
+            upstream.runs.values.filter {
+                (it.task to it.number) !in listed && it.answeredAt?.isBefore(sentAt) == true
+            }
+        // Nothing is known about the progress of omitted runs, so they do not count as stuck.
+        if (seen.omitsRuns) return missing.forEach { it.progressedAt = state.now }
+        missing.forEach { lost(it, "$upstream no longer reports it") }
     }
 
     /** Ends the runs whose start order [upstream], which has restarted, may not have received in this incarnation. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -107,7 +107,8 @@
         upstream.seenAt = sentAt
         runs.observed(upstream, sentAt, seen)
         if (first) state.dispatchNeeded = true
-        if (unobserved.remove(upstream.id)) tryCompleteTakeover()
+        // Omitted runs of an earlier owner may have ended, so their tasks must not start yet.
+        if (!seen.omitsRuns && unobserved.remove(upstream.id)) tryCompleteTakeover()
         upstream.nextObservationAt = if (first) state.now else state.now.plus(limits.observeGap)
         acknowledgeAfterStored(upstream)
     }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
@@ -114,7 +114,8 @@
         world.acknowledged(this, ended.filter { it.number <= order.acknowledgeUpTo })
         ended.removeIf { it.number <= order.acknowledgeUpTo }
         val rows = running.values.map { RunningTask(it.task, it.run, "", percent(it)) }
-        return Observation.Seen(clock(), incarnation, rows, ended.toList())
+        val omitsRuns = ended.size >= LISTED_ENDS
+        return Observation.Seen(clock(), incarnation, rows, ended.take(LISTED_ENDS), omitsRuns)
     }
 
     private fun percent(execution: Execution): Int {
@@ -187,4 +188,9 @@
         ended += EndedTask(++lastEnd, execution.task, execution.run, outcome, "")
         endedAt[lastEnd] = clock()
     }
+
+    companion object {
+        /** Most ends that one answer lists. */
+        const val LISTED_ENDS = 500
+    }
 }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobInvariants.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobInvariants.kt
@@ -19,6 +19,9 @@
     private val acknowledgedDone = HashSet<TaskRef>()
     private val cancelledAt = HashMap<JobId, Instant>()
 
+    /** Highest run number that was started, by task. */
+    private val lastStarted = HashMap<TaskRef, Long>()
+
     /** Notes that a caller cancels [job]. */
     fun cancelled(job: JobId) {
         cancelledAt.putIfAbsent(job, world.now)
@@ -32,6 +35,7 @@
         val task = order.task
         if (!fits(worker, used)) world.violations += "over capacity: ${worker.id} runs $used at ${world.now}"
         if (task in acknowledgedDone) world.violations += "done task restarted: $task after its end was acknowledged"
+        lastStarted.merge(task, order.run, ::maxOf)
         val elsewhere = world.workers.values.filter { it !== worker && task in it.running }
         if (elsewhere.isNotEmpty()) world.violations += "two runs: $task on ${elsewhere.map { it.id }} and ${worker.id}"
         val spec = world.specs.getValue(task.step.job)
@@ -144,6 +148,10 @@
         ends: List<EndedTask>,
     ) {
         ends.filter { it.end == RunEnd.DONE && !worker.hasLapsedSince(it.number) }.forEach {
+            val lastRun = lastStarted[it.task] ?: 0
+            if (lastRun > it.run && !world.specOf(it.task).longRunning) {
+                world.violations += "done task ran again: ${it.task}, run $lastRun after run ${it.run} had ended"
+            }
             acknowledgedDone += it.task
             listedDone += it.task
             if (!isStored(it.task)) {
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/UpstreamReport.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/UpstreamReport.kt
@@ -48,6 +48,8 @@
         @SerialName("life") val incarnation: Long,
         val running: List<RunningTask>,
         val ended: List<EndedTask>,
+        /** True if rows of either list are missing; a run in neither list may then exist or have ended. */
+        val omitsRuns: Boolean = false,
     ) : Observation {
         public companion object {
             /** Value of [incarnation] if the upstream did not report its start time. */
