Keep the records and calls of an owner below the limits of the store

Callers saw every submission refused, no cancel answered and no job completed after a long recurring job had been accepted (Acks); a restart did not help.

Cause: the progress of a job held all occurrences that were ever opened, and all due ones were opened at once. The store refuses a record of more than 262,144 bytes, and the refused call, which held the changes of all other jobs too, was repeated without end.

A job now holds the occurrences that are open, within bounds; what is stored of it is divided into records of about 128 KiB, and a call takes about 1 MiB. A call that is refused for good is divided until the refused record is known, whose job is failed or not accepted. Owners of the build before read the records: they take an occurrence below the last one for done if it is not stored.

--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/CellStore.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/CellStore.kt
@@ -44,6 +44,11 @@
         val detail: String,
     ) : AppendOutcome
 
+    /** The store will never accept these records, for example because of their size; nothing was appended. */
+    public data class Refused(
+        val detail: String,
+    ) : AppendOutcome
+
     /** No response arrived; the records may have been appended or may still be. */
     public data class Unanswered(
         val detail: String,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -38,7 +38,7 @@
         watch.load(loaded)
         state.finished.load(loaded.finished)
         loaded.jobs.forEach(::load)
-        state.journal.crashesOrphaned(loaded.orphanedCrashRecords)
+        state.journal.orphaned(loaded.orphanedKeys)
     }
 
     private fun load(loaded: LoadedJob) {
@@ -47,6 +47,8 @@
         job.blockedByTakeover = watch.hasUnobserved
         state.jobs[job.id] = job
         loaded.progress?.let(job::restore)
+        job.progressParts = loaded.progressParts
+        job.crashParts = loaded.crashParts
         crashes.load(job, loaded)
         job.steps.values.forEach(jobs::enqueueIfReady)
         jobs.openDueOccurrences(job)
@@ -101,6 +103,7 @@
             is CellEvent.Advised -> dispatcher.advised(event.call, event.good)
             is CellEvent.HelpersChanged -> helpersChanged(event.helpers)
             CellEvent.Stored -> state.journal.stored()
+            is CellEvent.RecordRefused -> jobs.recordRefused(event.key)
             CellEvent.StoreFenced -> state.emit(CellEffect.Resign("a later owner has written to the store"))
         }
     }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellConfig.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellConfig.kt
@@ -88,8 +88,8 @@
     val finished: ImmutableMap<Long, FinishedJobsRecord> = persistentMapOf(),
     /** True if no earlier owner can grant or renew leases any more. */
     val earlierOwnersEnded: Boolean = false,
-    /** Jobs with a record of crashes that have ended under an owner that did not know such records. */
-    val orphanedCrashRecords: ImmutableList<JobId> = persistentListOf(),
+    /** Keys of records of jobs that do not exist or have ended. */
+    val orphanedKeys: ImmutableList<String> = persistentListOf(),
 )
 
 public data class LoadedJob(
@@ -97,4 +97,7 @@
     val submission: SubmissionRecord,
     val progress: ProgressRecord?,
     val crashes: CrashRecord? = null,
+    /** Number of records from which [progress] and [crashes] were put together. */
+    val progressParts: Int = 0,
+    val crashParts: Int = 0,
 )
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellEvent.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellEvent.kt
@@ -54,6 +54,11 @@
     /** The store acknowledged the records of the last [CellEffect.Store]. */
     public data object Stored : CellEvent
 
+    /** The store refuses a record of the last [CellEffect.Store] for good; [Stored] follows for the others. */
+    public data class RecordRefused(
+        val key: String,
+    ) : CellEvent
+
     /** The store rejected the records of the last [CellEffect.Store] because a later owner wrote. */
     public data object StoreFenced : CellEvent
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CrashTracker.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CrashTracker.kt
@@ -27,7 +27,6 @@
     ) {
         job.steps.values.forEach { it.crashes.mayHaveMissedCrashes = it.begun }
         val record = loaded.crashes ?: return
-        job.hasCrashRecord = true
         record.tasks.forEach { task ->
             val step = job.steps[task.task.step] ?: return@forEach
             val index = task.task.index
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobController.kt
@@ -155,11 +155,12 @@
         state.journal.afterStored { state.answer(call, JobAnswer.Cancelled) }
     }
 
-    /** Opens the occurrences of [job] that are due. */
+    /** Opens the occurrences of [job] that are due, as many as may be open at a time. */
     fun openDueOccurrences(job: JobRun) {
         while (job.openedOccurrences < job.occurrences && !job.phase.isFinal) {
             val due = job.dueAt(job.openedOccurrences)
             if (job.spec.schedule != null && state.now.isBefore(due)) return
+            if (job.openOccurrences >= SubmissionCheck.maxOpenOccurrences(job.spec)) return
             job.openOccurrence(job.openedOccurrences).forEach(::enqueueIfReady)
         }
     }
@@ -181,6 +182,8 @@
         job.steps.values
             .filter { it.ref.occurrence == step.ref.occurrence }
             .forEach(::enqueueIfReady)
+        job.closeIfDone(step.ref.occurrence)
+        openDueOccurrences(job)
         if (job.openedOccurrences == job.occurrences && job.steps.values.all { it.isDone }) {
             end(job, JobPhase.COMPLETED, null)
         }
@@ -194,6 +197,29 @@
         end(job, JobPhase.FAILED, reason)
     }
 
+    /** The store refuses the record with [key]: its job cannot be kept, and must not hold up the others. */
+    fun recordRefused(key: String) {
+        val id = JobId(JobRecords.jobOf(key.substringAfter('/')))
+        state.decided("record-refused", id, "key $key")
+        val job = state.jobs[id] ?: return
+        if (job.stored) {
+            if (!job.phase.isFinal) fail(job, "the store refuses a record of the job")
+            return
+        }
+        withdraw(job)
+        val calls = pendingCalls.filter { it.job === job }
+        pendingCalls -= calls.toSet()
+        calls.forEach { state.answer(it.call, JobAnswer.Invalid("the store refuses the record of the job")) }
+    }
+
+    /** Removes [job], which is not stored and has no runs. */
+    private fun withdraw(job: JobRun) {
+        state.journal.withdraw(job)
+        job.phase = JobPhase.CANCELLED
+        job.steps.values.forEach { state.ready -= it }
+        state.jobs -= job.id
+    }
+
     private fun end(
         job: JobRun,
         phase: JobPhase,
@@ -228,11 +254,7 @@
         val stalled = state.journal.stalledFor(state.now) > state.limits.storeStallTimeout
         val unsent = pendingCalls.filter { stalled && state.journal.isUnsent(it.job) }
         unsent.forEach { caller ->
-            state.journal.withdraw(caller.job)
-            caller.job.phase = JobPhase.CANCELLED
-            caller.job.steps.values
-                .forEach { state.ready -= it }
-            state.jobs -= caller.job.id
+            withdraw(caller.job)
             refuse(caller.call, caller.job.id, "the store has not answered for ${state.limits.storeStallTimeout}")
         }
         (overdue - unsent.toSet()).forEach {
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -45,18 +45,24 @@
     /** When the store confirmed the submission, or null for a job that an earlier owner accepted. */
     var storedAt: Instant? = null
 
-    /** True if the store holds a record of crashes under the job's tasks. */
-    var hasCrashRecord = false
+    /** Number of records that the store holds of the job's progress, and of crashes under its tasks. */
+    var progressParts = 0
+    var crashParts = 0
 
     /** True while the job may have runs, started by an earlier owner, that this owner has not discovered yet. */
     var blockedByTakeover = false
 
-    /** Steps of all occurrences that have become due. */
+    /** Steps of the occurrences that were opened and are not done, and of the last one that was opened. */
     val steps = LinkedHashMap<StepRef, StepRun>()
     val occurrences: Int = spec.schedule?.occurrences ?: 1
 
-    /** Number of occurrences whose steps are in [steps]. */
+    /** Number of occurrences that were opened, in order of their due time. */
     var openedOccurrences = 0
+        private set
+
+    /** Number of opened occurrences that are not done. */
+    val openOccurrences: Int
+        get() = steps.size / spec.steps.size - (if (openedOccurrences > 0 && isDone(openedOccurrences - 1)) 1 else 0)
 
     /** Critical path from each step on, from estimated run times, in milliseconds. */
     private val criticalPathsFrom: LongArray = criticalPathsFrom(spec)
@@ -67,27 +73,40 @@
     /** Returns the critical path from [step] on, including it, in milliseconds. */
     fun remainingCriticalPath(step: Int): Long = criticalPathsFrom[step]
 
-    val begun: Boolean get() = steps.values.any { it.begun }
+    val begun: Boolean
+        get() = steps.size < openedOccurrences * spec.steps.size || steps.values.any { it.begun }
 
     /** Due time of [occurrence], or the time of acceptance for a job without a schedule. */
     fun dueAt(occurrence: Int): Instant =
         spec.schedule?.let { Instant.ofEpochMilli(it.dueAtEpochMillis(occurrence)) } ?: acceptedAt
 
     /** Adds the steps of [occurrence], which is due. */
-    fun openOccurrence(occurrence: Int): List<StepRun> =
-        spec.steps.indices
-            .map { step -> StepRun(this, StepRef(id, occurrence, step)) }
-            .onEach { steps[it.ref] = it }
-            .also { openedOccurrences = maxOf(openedOccurrences, occurrence + 1) }
+    fun openOccurrence(occurrence: Int): List<StepRun> {
+        val earlierLast = openedOccurrences - 1
+        openedOccurrences = maxOf(openedOccurrences, occurrence + 1)
+        closeIfDone(earlierLast)
+        return refs(occurrence).map { ref -> StepRun(this, ref).also { steps[ref] = it } }
+    }
+
+    /**
+     * Drops the steps of [occurrence] if all are done, so that a job takes room for what is open only.
+     *
+     * The last opened occurrence stays: a successor, also one of an earlier build, takes all before it that are not
+     * stored for done.
+     */
+    fun closeIfDone(occurrence: Int) {
+        if (occurrence == openedOccurrences - 1 || !isDone(occurrence)) return
+        refs(occurrence).forEach { steps -= it }
+    }
+
+    private fun isDone(occurrence: Int): Boolean = refs(occurrence).all { steps[it]?.isDone == true }
+
+    private fun refs(occurrence: Int): List<StepRef> = spec.steps.indices.map { StepRef(id, occurrence, it) }
 
-    fun progress(): ProgressRecord = ProgressRecord(steps.values.map { it.progress() })
+    fun progress(): List<ProgressRecord> = JobRecords.progress(steps.values.map { it.progress() })
 
-    /** Returns the record of crashes under the job's tasks, or null if there are none. */
-    fun crashRecord(): CrashRecord? =
-        steps.values
-            .flatMap { it.crashes.stored(it) }
-            .takeIf { it.isNotEmpty() }
-            ?.let(::CrashRecord)
+    /** Returns the records of crashes under the job's tasks; none if there are no crashes. */
+    fun crashRecords(): List<CrashRecord> = JobRecords.crashes(steps.values.flatMap { it.crashes.stored(it) })
 
     /** Returns the record that is retained after the job has ended. */
     fun finished(): FinishedJob =
@@ -101,12 +120,14 @@
         )
 
     fun restore(record: ProgressRecord) {
-        record.steps
-            .map { it.occurrence }
-            .distinct()
-            .sorted()
-            .forEach(::openOccurrence)
+        val opened =
+            record.steps
+                .map { it.occurrence }
+                .distinct()
+                .sorted()
+        opened.forEach(::openOccurrence)
         record.steps.forEach { steps[StepRef(id, it.occurrence, it.step)]?.restore(it) }
+        opened.forEach(::closeIfDone)
     }
 
     private companion object {
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Journal.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Journal.kt
@@ -26,7 +26,7 @@
     private val submissions = LinkedHashSet<JobRun>()
     private val changed = LinkedHashSet<JobRun>()
     private val crashesChanged = LinkedHashSet<JobRun>()
-    private val orphanedCrashRecords = LinkedHashSet<JobId>()
+    private val orphanedKeys = LinkedHashSet<String>()
     private val expiredGroups = LinkedHashSet<Long>()
     private val upstreams = LinkedHashMap<UpstreamId, UsedUpstreamRecord?>()
     private var actionsAfterNext = ArrayList<() -> Unit>()
@@ -47,9 +47,9 @@
         if (!job.endHandedToStore) crashesChanged += job
     }
 
-    /** Marks the crash records of [jobs], which do not exist any more, for deletion. */
-    fun crashesOrphaned(jobs: Collection<JobId>) {
-        orphanedCrashRecords += jobs
+    /** Marks records of jobs that do not exist any more for deletion. */
+    fun orphaned(keys: Collection<String>) {
+        orphanedKeys += keys
     }
 
     /** Marks the groups [numbers] of finished jobs for deletion. */
@@ -94,54 +94,100 @@
             ready.forEach { it() }
             return null
         }
-        actionsAfterOpen = actionsAfterNext
-        actionsAfterNext = ArrayList()
+        if (isDrained()) {
+            actionsAfterOpen = actionsAfterNext
+            actionsAfterNext = ArrayList()
+        }
         openSince = now
         return records
     }
 
+    /** False if changes are left for a further batch; the actions then wait for that one. */
+    private fun isDrained(): Boolean =
+        listOf(submissions, changed, crashesChanged, orphanedKeys, expiredGroups, upstreams.keys).all { it.isEmpty() }
+
+    /** Takes changes until they fill a call to the store. All changes of a job and kind go into the same call. */
     private fun takeRecords(): List<KeyedRecord> {
-        val records = ArrayList<KeyedRecord>()
-        val (ended, open) = changed.partition { it.phase.isFinal }
-        (submissions - ended.toSet()).mapTo(records) {
-            record(ShardKeyPrefixes.SUBMISSION + it.id, SubmissionRecord.serializer(), it.submission)
+        val batch = Batch()
+        val ended = changed.filter { it.phase.isFinal }.take(MAX_ENDED_JOBS)
+        changed -= ended.toSet()
+        submissions -= ended.toSet()
+        batch += endRecords(ended)
+        batch.take(submissions) { listOf(record(ShardKeyPrefixes.SUBMISSION + it.id, SUBMISSIONS, it.submission)) }
+        batch.take(changed, { !it.phase.isFinal }, ::progressRecords)
+        batch.take(crashesChanged) { if (it.phase.isFinal) emptyList() else crashRecords(it) }
+        batch.take(upstreams.keys.toMutableSet()) {
+            listOf(record(ShardKeyPrefixes.UPSTREAM + it, UPSTREAMS, upstreams.remove(it)))
         }
-        open.mapTo(records) { record(ShardKeyPrefixes.PROGRESS + it.id, ProgressRecord.serializer(), it.progress()) }
-        records += crashRecords()
-        records += endRecords(ended)
-        upstreams.mapTo(records) { (id, used) ->
-            record(ShardKeyPrefixes.UPSTREAM + id, UsedUpstreamRecord.serializer(), used)
-        }
-        listOf(submissions, changed, crashesChanged, orphanedCrashRecords, expiredGroups).forEach { it.clear() }
-        upstreams.clear()
-        return records
+        batch.take(orphanedKeys) { listOf(KeyedRecord(it, null)) }
+        return batch.records
     }
 
-    private fun crashRecords(): List<KeyedRecord> {
-        val records = orphanedCrashRecords.mapTo(ArrayList()) { KeyedRecord(ShardKeyPrefixes.CRASHES + it, null) }
-        crashesChanged.filter { !it.phase.isFinal }.forEach { job ->
-            val value = job.crashRecord()
-            if (value != null || job.hasCrashRecord) {
-                records += record(ShardKeyPrefixes.CRASHES + job.id, CrashRecord.serializer(), value)
+    private class Batch {
+        val records = ArrayList<KeyedRecord>()
+        private var bytes = 0
+
+        operator fun plusAssign(more: List<KeyedRecord>) {
+            records += more
+            bytes += more.sumOf { it.key.length + (it.value?.size ?: 0) + FRAME_BYTES }
+        }
+
+        /** Moves [recordsOf] the first of [items] here, those that are [included], until the call is full. */
+        fun <T> take(
+            items: MutableSet<T>,
+            included: (T) -> Boolean = { true },
+            recordsOf: (T) -> List<KeyedRecord>,
+        ) {
+            val remaining = items.iterator()
+            while (bytes < MAX_BYTES && remaining.hasNext()) {
+                val item = remaining.next()
+                if (!included(item)) continue
+                remaining.remove()
+                this += recordsOf(item)
             }
-            job.hasCrashRecord = value != null
         }
-        return records
     }
 
-    /** Deletes the own records of the jobs that [ended], and stores the jobs in groups instead. */
+    private fun progressRecords(job: JobRun): List<KeyedRecord> {
+        val parts = job.progress()
+        return parts(ShardKeyPrefixes.PROGRESS, job.id, parts, PROGRESS, job.progressParts)
+            .also { job.progressParts = parts.size }
+    }
+
+    private fun crashRecords(job: JobRun): List<KeyedRecord> {
+        val parts = job.crashRecords()
+        return parts(ShardKeyPrefixes.CRASHES, job.id, parts, CRASHES, job.crashParts)
+            .also { job.crashParts = parts.size }
+    }
+
+    /** Returns [parts], and the deletion of those that were stored beyond them. */
+    private fun <T> parts(
+        prefix: String,
+        job: JobId,
+        parts: List<T>,
+        serializer: KSerializer<T>,
+        storedParts: Int,
+    ): List<KeyedRecord> =
+        List(maxOf(parts.size, storedParts)) { part ->
+            record(JobRecords.key(prefix, job, part), serializer, parts.getOrNull(part))
+        }
+
+    /** Stores the jobs that [ended] in groups, and deletes their own records. */
     private fun endRecords(ended: List<JobRun>): List<KeyedRecord> {
-        val records = ArrayList<KeyedRecord>()
+        val groups = finished.add(ended.map { it.finished() }) + expiredGroups
+        expiredGroups.clear()
+        val records =
+            groups.mapTo(
+                ArrayList(),
+            ) { record(ShardKeyPrefixes.FINISHED + it, GROUPS, finished.recordOf(it)) }
         ended.forEach { job ->
             job.endHandedToStore = true
-            records += KeyedRecord(ShardKeyPrefixes.PROGRESS + job.id, null)
+            // A successor that finds the group and the submission takes the job for ended.
+            records += parts(ShardKeyPrefixes.PROGRESS, job.id, emptyList(), PROGRESS, maxOf(1, job.progressParts))
+            records += parts(ShardKeyPrefixes.CRASHES, job.id, emptyList(), CRASHES, job.crashParts)
             records += KeyedRecord(ShardKeyPrefixes.SUBMISSION + job.id, null)
-            if (job.hasCrashRecord) records += KeyedRecord(ShardKeyPrefixes.CRASHES + job.id, null)
             actionsAfterNext += { onFinished(job) }
         }
-        (finished.add(ended.map { it.finished() }) + expiredGroups).mapTo(records) { group ->
-            record(ShardKeyPrefixes.FINISHED + group, FinishedJobsRecord.serializer(), finished.recordOf(group))
-        }
         return records
     }
 
@@ -159,4 +205,21 @@
         actionsAfterOpen = emptyList()
         ready.forEach { it() }
     }
+
+    private companion object {
+        /** Bytes after which a call takes no further job: half of what the store accepts, as one job may exceed it. */
+        const val MAX_BYTES = 1_024 * 1_024
+
+        /** Length of a record and of its key in a call. */
+        const val FRAME_BYTES = 5
+
+        /** Ended jobs in a call; each takes about 200 bytes with its share of a group. */
+        const val MAX_ENDED_JOBS = 2_000
+
+        val SUBMISSIONS = SubmissionRecord.serializer()
+        val PROGRESS = ProgressRecord.serializer()
+        val CRASHES = CrashRecord.serializer()
+        val GROUPS = FinishedJobsRecord.serializer()
+        val UPSTREAMS = UsedUpstreamRecord.serializer()
+    }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -315,7 +315,7 @@
             run.percent = row.percent
             run.progressedAt = state.now
         }
-        if (row.checkpoint.isNotEmpty()) run.step?.checkpoints?.put(run.task.index, row.checkpoint)
+        if (isKept(row.checkpoint)) run.step?.checkpoints?.put(run.task.index, row.checkpoint)
     }
 
     private fun checkProbation(
@@ -385,7 +385,7 @@
         val step = run?.step ?: tasks.stepOf(row.task)
         if (run != null) release(run)
         if (step == null) return
-        if (row.checkpoint.isNotEmpty() && !step.done.get(row.task.index)) {
+        if (isKept(row.checkpoint) && !step.done.get(row.task.index)) {
             step.checkpoints[row.task.index] = row.checkpoint
             state.journal.changed(step.job)
         }
@@ -413,4 +413,11 @@
         }
         state.dispatchNeeded = true
     }
+
+    /** A checkpoint that is left out costs repeated work, one that is too long could not be stored. */
+    private fun isKept(checkpoint: String): Boolean = checkpoint.length in 1..MAX_CHECKPOINT_CHARS
+
+    private companion object {
+        const val MAX_CHECKPOINT_CHARS = 256
+    }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/StoredShard.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/StoredShard.kt
@@ -31,23 +31,65 @@
 ) {
     /** Returns the decoded records, jobs in order of acceptance. */
     public fun decode(): LoadedShard {
-        val crashes = records(ShardKeyPrefixes.CRASHES, CrashRecord.serializer())
-        val jobs = jobs(crashes)
+        val finished = finished()
+        val ended = finished.values.flatMapTo(HashSet()) { group -> group.jobs.map { it.job.value } }
+        val submissions = records(ShardKeyPrefixes.SUBMISSION, SubmissionRecord.serializer())
+        val open = submissions.filterKeys { it !in ended }
         return LoadedShard(
-            jobs.sortedBy { it.submission.acceptedAtEpochMillis }.toPersistentList(),
+            jobs(open).sortedBy { it.submission.acceptedAtEpochMillis }.toPersistentList(),
             records(ShardKeyPrefixes.UPSTREAM, UsedUpstreamRecord.serializer()).values.toPersistentList(),
-            finished().toPersistentMap(),
-            orphanedCrashRecords =
-                (crashes.keys - jobs.map { it.id.value }.toSet()).map(::JobId).toPersistentList(),
+            finished.toPersistentMap(),
+            orphanedKeys = orphanedKeys(open.keys, ended).toPersistentList(),
         )
     }
 
-    private fun jobs(crashes: Map<String, CrashRecord>): List<LoadedJob> {
-        val progress = records(ShardKeyPrefixes.PROGRESS, ProgressRecord.serializer())
-        return records(ShardKeyPrefixes.SUBMISSION, SubmissionRecord.serializer())
-            .map { (id, submission) -> LoadedJob(JobId(id), submission, progress[id], crashes[id]) }
+    private fun jobs(submissions: Map<String, SubmissionRecord>): List<LoadedJob> {
+        val progress = parts(ShardKeyPrefixes.PROGRESS, ProgressRecord.serializer())
+        val crashes = parts(ShardKeyPrefixes.CRASHES, CrashRecord.serializer())
+        return submissions.map { (id, submission) ->
+            val progressOfJob = progress[id]
+            val crashesOfJob = crashes[id]
+            LoadedJob(
+                JobId(id),
+                submission,
+                progressOfJob?.run { ProgressRecord(records.flatMap { it.steps }) },
+                crashesOfJob?.run { CrashRecord(records.flatMap { it.tasks }) },
+                progressOfJob?.count ?: 0,
+                crashesOfJob?.count ?: 0,
+            )
+        }
     }
 
+    /** The readable records of one job and kind, and the number of their keys. */
+    private class Parts<T>(
+        val records: List<T>,
+        val count: Int,
+    )
+
+    private fun <T> parts(
+        prefix: String,
+        serializer: KSerializer<T>,
+    ): Map<String, Parts<T>> =
+        records(prefix, serializer).entries.groupBy { JobRecords.jobOf(it.key) }.mapValues { (_, parts) ->
+            Parts(parts.map { it.value }, parts.maxOf { JobRecords.partOf(it.key) } + 1)
+        }
+
+    /** A call that ends a job stores it in a group before it deletes the other records, and may be split there. */
+    private fun orphanedKeys(
+        open: Set<String>,
+        ended: Set<String>,
+    ): List<String> =
+        values.keys.filter { key ->
+            when {
+                key.startsWith(ShardKeyPrefixes.SUBMISSION) -> key.removePrefix(ShardKeyPrefixes.SUBMISSION) in ended
+                key.startsWith(ShardKeyPrefixes.PROGRESS) ->
+                    JobRecords.jobOf(key.removePrefix(ShardKeyPrefixes.PROGRESS)) !in open
+                key.startsWith(ShardKeyPrefixes.CRASHES) ->
+                    JobRecords.jobOf(key.removePrefix(ShardKeyPrefixes.CRASHES)) !in open
+                else -> false
+            }
+        }
+
     private fun finished(): Map<Long, FinishedJobsRecord> {
         val (numbered, others) =
             records(ShardKeyPrefixes.FINISHED, FinishedJobsRecord.serializer())
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/SubmissionCheck.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/SubmissionCheck.kt
@@ -3,6 +3,8 @@
 import org.anvilbarrow.kernel.workspaces.ResourceTotals
 import org.anvilbarrow.protocol.jobs.JobRequest
 import org.anvilbarrow.protocol.jobs.JobSchedule
+import org.anvilbarrow.protocol.jobs.JobSpec
+import org.anvilbarrow.protocol.jobs.RecordCodec
 import org.anvilbarrow.protocol.jobs.StepSpec
 import org.anvilbarrow.protocol.model.Resources
 
@@ -15,6 +17,16 @@
     private const val MAX_NAME_CHARS = 256
     private const val MAX_OCCURRENCES = 100_000
 
+    /** Bounds of the occurrences of a job that are open at a time, which bound its memory and its record. */
+    private const val MAX_OPEN_STEPS = 1_000
+    private const val MAX_OPEN_TASKS = 20_000
+
+    /** Encoded size of a job: messages between processes take 64 KiB, the store four times as much in a record. */
+    private const val MAX_SPEC_BYTES = 56 * 1_024
+    private const val STEP_BYTES = 300
+    private const val BYTES_PER_CHAR = 3
+    private const val BYTES_PER_NUMBER = 9
+
     /** End of the year 9999, in milliseconds since 1970; due times up to it do not overflow. */
     private const val MAX_TIME_MILLIS = 253_402_300_799_000L
 
@@ -40,7 +52,33 @@
             ?.let { return it }
         return steps.withIndex().firstNotNullOfOrNull { (index, step) ->
             stepProblem(index, step)?.let { "steps[$index].$it" }
-        }
+        } ?: openProblem(request.spec) ?: sizeProblem(request.spec)
+    }
+
+    /** Returns how many occurrences of [spec] may be open at a time. */
+    internal fun maxOpenOccurrences(spec: JobSpec): Int {
+        val tasks = spec.steps.sumOf { it.tasks }.coerceAtLeast(1)
+        return minOf(MAX_OPEN_STEPS / spec.steps.size, MAX_OPEN_TASKS / tasks).coerceAtLeast(1)
+    }
+
+    /** Occurrences with a long-running step never end by themselves, so all of them are open in the end. */
+    private fun openProblem(spec: JobSpec): String? {
+        val occurrences = spec.schedule?.occurrences ?: 1
+        val limit = maxOpenOccurrences(spec)
+        if (occurrences <= limit || spec.steps.none { it.longRunning }) return null
+        return "occurrences is $occurrences, the limit for this job with long-running steps is $limit"
+    }
+
+    private fun sizeProblem(spec: JobSpec): String? {
+        val atMost =
+            spec.payload.length * BYTES_PER_CHAR +
+                spec.steps.sumOf { step ->
+                    STEP_BYTES + step.dependsOn.size * BYTES_PER_NUMBER +
+                        names(step).sumOf { it.length * BYTES_PER_CHAR }
+                }
+        if (atMost <= MAX_SPEC_BYTES) return null
+        val bytes = RecordCodec.encode(JobSpec.serializer(), spec).size
+        return if (bytes <= MAX_SPEC_BYTES) null else "the job takes $bytes bytes, the limit is $MAX_SPEC_BYTES"
     }
 
     /** Returns a message that names a step of which no task, or no gang, can ever run within [limit], or null. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/TaskOutcomes.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/TaskOutcomes.kt
@@ -60,13 +60,18 @@
         }
         val index = row.task.index
         step.failedOn += upstream
+        // The attempts of long-running tasks have no limit, and their number none either.
+        if (step.spec.longRunning) {
+            state.decided("run-failed", row.task, "run ${row.run} on $upstream")
+            return requeue(step, index)
+        }
         // Run numbers, not a count: an end that was stored but not acknowledged is reported again to a successor.
         val failed = step.failures.merge(index, setOf(row.run), Set<Long>::plus).orEmpty()
         state.decided("run-failed", row.task, "run ${row.run} on $upstream, failure ${failed.size}")
         state.journal.changed(step.job)
         val limit = state.queueOf(step.job)?.maxAttempts
         val counted = if (step.spec.gang) step.failures.values.sumOf { it.size } else failed.size
-        if (step.spec.longRunning || limit == null || counted < limit) return requeue(step, index)
+        if (limit == null || counted < limit) return requeue(step, index)
         if (!step.job.phase.isFinal) jobs.fail(step.job, "task $index of step ${step.ref.step} failed $counted times")
     }
 
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/JournalWriter.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/JournalWriter.kt
@@ -12,7 +12,8 @@
 /**
  * Appends the batches of one owner, one at a time, and retries each until it is stored or the owner is fenced.
  *
- * A batch keeps its sequence number when it is sent again, so that it is stored once even if an answer was lost.
+ * A batch keeps its sequence number when it is sent again, so that it is stored once even if an answer was lost. One
+ * that the store refuses for good is divided, until the refused record is known and the others are stored.
  */
 internal class JournalWriter(
     private val shard: Int,
@@ -22,6 +23,7 @@
     private class Batch(
         val records: List<KeyedRecord>,
         val sequence: Long,
+        val onRefused: (key: String) -> Unit,
         val done: (Boolean) -> Unit,
     ) {
         var attempts = 0
@@ -36,13 +38,18 @@
     /** Time from the last attempt of the previous batch to its answer. */
     private var lastLatency: Duration = Duration.ZERO
 
-    /** Calls [done] with true once [records] are stored, or with false once a later owner has written. */
+    /**
+     * Calls [done] with true once [records] are stored, or with false once a later owner has written.
+     *
+     * Records that the store refuses for good are left out; [onRefused] is called for each of them before.
+     */
     fun write(
         records: List<KeyedRecord>,
+        onRefused: (key: String) -> Unit,
         done: (Boolean) -> Unit,
     ) {
         lastSequence++
-        send(Batch(records, lastSequence, done))
+        send(Batch(records, lastSequence, onRefused, done))
     }
 
     /** Stops sending, including retries. */
@@ -86,6 +93,7 @@
             // The store recognizes repeats of the last five batches only. If it expects a later sequence number, an
             // attempt whose answer was lost has stored this batch.
             is AppendOutcome.OutOfSequence -> end(batch, stored = (outcome.expected ?: 0) > batch.sequence)
+            is AppendOutcome.Refused -> refused(batch, outcome)
             else -> {
                 failures++
                 if (failures == 1) log.warn { "event=store-lost shard=$shard detail=\"$outcome\"" }
@@ -94,6 +102,29 @@
         }
     }
 
+    private fun refused(
+        batch: Batch,
+        outcome: AppendOutcome.Refused,
+    ) {
+        batch.ended = true
+        // A refused append does not use up its sequence number.
+        lastSequence = batch.sequence - 1
+        val records = batch.records
+        if (records.size == 1) {
+            val record = records.single()
+            log.error {
+                "event=record-refused shard=$shard key=${record.key} bytes=${record.value?.size} detail=\"$outcome\""
+            }
+            batch.onRefused(record.key)
+            return batch.done(true)
+        }
+        log.warn { "event=append-refused shard=$shard records=${records.size} detail=\"$outcome\"" }
+        val half = records.size / 2
+        write(records.take(half), batch.onRefused) { stored ->
+            if (stored) write(records.drop(half), batch.onRefused, batch.done) else batch.done(false)
+        }
+    }
+
     private fun end(
         batch: Batch,
         stored: Boolean,
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardController.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/ShardController.kt
@@ -212,7 +212,7 @@
                 when (it) {
                     is AppendOutcome.Appended -> ClaimAppendResult.Appended
                     is AppendOutcome.Unanswered -> ClaimAppendResult.Unanswered
-                    is AppendOutcome.Rejected -> ClaimAppendResult.Rejected
+                    is AppendOutcome.Rejected, is AppendOutcome.Refused -> ClaimAppendResult.Rejected
                     else -> ClaimAppendResult.Conflict
                 }
             context.post { perform(claim.appended(effect.number, result, now())) }
@@ -310,9 +310,10 @@
                     effect,
                 ) { good -> deliver(owner) { CellEvent.Advised(effect.call, good) } }
             is CellEffect.Store ->
-                journal?.write(effect.records) { stored ->
-                    deliver(owner) { if (stored) CellEvent.Stored else CellEvent.StoreFenced }
-                }
+                journal?.write(
+                    effect.records,
+                    onRefused = { key -> deliver(owner) { CellEvent.RecordRefused(key) } },
+                ) { stored -> deliver(owner) { if (stored) CellEvent.Stored else CellEvent.StoreFenced } }
             is CellEffect.Answer -> context.process.answer(effect.call, effect.answer)
             is CellEffect.Resign -> if (owner === cell) perform(claim.displaced(effect.reason, now()))
             is CellEffect.Decided -> context.decisions.write(effect.kind, effect.subject, effect.detail, now())
