Count the failed runs of a gang, not those of its members

The attempts of a gang were added up over its members, which share the number of a run: on upstreams that fail all they start, several members fail in one run, and a gang was failed after its second run of three.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/TaskOutcomes.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/TaskOutcomes.kt
@@ -70,7 +70,15 @@
         state.decided("run-failed", row.task, "run ${row.run} on $upstream, failure ${failed.size}")
         state.journal.changed(step.job)
         val limit = state.queueOf(step.job)?.maxAttempts
-        val counted = if (step.spec.gang) step.failures.values.sumOf { it.size } else failed.size
+        // The members of a gang share the number of a run, and several of them may fail in it.
+        val counted =
+            if (step.spec.gang) {
+                step.failures.values
+                    .reduce(Set<Long>::union)
+                    .size
+            } else {
+                failed.size
+            }
         if (limit == null || counted < limit) return requeue(step, index)
         if (!step.job.phase.isFinal) jobs.fail(step.job, "task $index of step ${step.ref.step} failed $counted times")
     }
