--- a/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/TopicFollower.kt
+++ b/adapters/src/main/kotlin/org/anvilbarrow/adapters/cell/TopicFollower.kt
@@ -74,8 +74,7 @@
             is NewestOutcome.Complete -> {
                 succeeded()
                 next = outcome.endOffset
-                onRecords(outcome.records, true)
-                onCurrent()
+                if (deliver(outcome.records, complete = true)) onCurrent()
             }
             is NewestOutcome.Failed -> failed(outcome.detail)
         }
@@ -93,8 +92,8 @@
             is ReadOutcome.Page -> {
                 succeeded()
                 next = outcome.nextOffset
-                if (outcome.records.isNotEmpty()) onRecords(outcome.records, false)
-                if (outcome.nextOffset >= outcome.endOffset) onCurrent()
+                val delivered = outcome.records.isEmpty() || deliver(outcome.records, complete = false)
+                if (delivered && outcome.nextOffset >= outcome.endOffset) onCurrent()
             }
             ReadOutcome.OffsetOutOfRange -> next = null
             is ReadOutcome.Failed -> failed(outcome.detail)
@@ -102,6 +101,22 @@
         scheduleNext(expected)
     }
 
+    /** Returns false if the records could not be handled; all are then read again, and the topic is still followed. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun deliver(
+        records: List<KeyedRecord>,
+        complete: Boolean,
+    ): Boolean =
+        try {
+            onRecords(records, complete)
+            true
+        } catch (e: RuntimeException) {
+            log.error(e) { "event=records-failed topic=$topic partition=$partition records=${records.size}" }
+            next = null
+            failed("handling the records failed: $e")
+            false
+        }
+
     private fun scheduleNext(expected: Int) {
         executor.run(if (failures > 0) RETRY_DELAY else pollInterval) { poll(expected) }
     }
