Delete only records of jobs that ended or were never submitted

A successor deleted progress without a readable submission. If a newer build wrote the submission, its progress would have been lost to that build, and done tasks would have run again after an upgrade back.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/StoredShard.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/StoredShard.kt
@@ -39,7 +39,7 @@
             jobs(open).sortedBy { it.submission.acceptedAtEpochMillis }.toPersistentList(),
             records(ShardKeyPrefixes.UPSTREAM, UsedUpstreamRecord.serializer()).values.toPersistentList(),
             finished.toPersistentMap(),
-            orphanedKeys = orphanedKeys(open.keys, ended).toPersistentList(),
+            orphanedKeys = orphanedKeys(ended).toPersistentList(),
         )
     }
 
@@ -74,21 +74,24 @@
             Parts(parts.map { it.value }, parts.maxOf { JobRecords.partOf(it.key) } + 1)
         }
 
-    /** A call that ends a job stores it in a group before it deletes the other records, and may be split there. */
-    private fun orphanedKeys(
-        open: Set<String>,
-        ended: Set<String>,
-    ): List<String> =
-        values.keys.filter { key ->
-            when {
-                key.startsWith(ShardKeyPrefixes.SUBMISSION) -> key.removePrefix(ShardKeyPrefixes.SUBMISSION) in ended
-                key.startsWith(ShardKeyPrefixes.PROGRESS) ->
-                    JobRecords.jobOf(key.removePrefix(ShardKeyPrefixes.PROGRESS)) !in open
-                key.startsWith(ShardKeyPrefixes.CRASHES) ->
-                    JobRecords.jobOf(key.removePrefix(ShardKeyPrefixes.CRASHES)) !in open
-                else -> false
+    /**
+     * Returns the keys of records of jobs that have ended or do not exist.
+     *
+     * A call that ends a job stores it in a group before it deletes the other records, and may be divided there. What
+     * belongs to a submission that cannot be decoded stays, as another build may read it.
+     */
+    private fun orphanedKeys(ended: Set<String>): List<String> {
+        val open = jobsWith(ShardKeyPrefixes.SUBMISSION).keys - ended
+        val orphaned = jobsWith(ShardKeyPrefixes.SUBMISSION).filterKeys { it in ended }.values.flatten()
+        return orphaned +
+            listOf(ShardKeyPrefixes.PROGRESS, ShardKeyPrefixes.CRASHES).flatMap { prefix ->
+                jobsWith(prefix).filterKeys { it !in open }.values.flatten()
             }
-        }
+    }
+
+    /** Returns the keys that start with [prefix], by the id of their job. */
+    private fun jobsWith(prefix: String): Map<String, List<String>> =
+        values.keys.filter { it.startsWith(prefix) }.groupBy { JobRecords.jobOf(it.removePrefix(prefix)) }
 
     private fun finished(): Map<Long, FinishedJobsRecord> {
         val (numbered, others) =
