Forget that an upstream fell silent once it has answered

A later quick restart was taken for one after silence, so that proven crashes counted as likely only. Found by reading.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
@@ -84,6 +84,7 @@
 
     fun answered() {
         failedObservations = 0
+        fellSilent = false
     }
 
     fun readClock(
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -99,10 +99,10 @@
     ) {
         val failed = upstream.failedObservations
         if (failed > 0) state.decided("upstream-regained", upstream, "$failed observe request(s) failed")
-        upstream.answered()
         upstream.readClock(seen.clockMillis, state.now)
         // A report without a start time tells nothing about a restart.
         if (seen.incarnation != Observation.Seen.UNKNOWN_INCARNATION) checkIncarnation(upstream, sentAt, seen)
+        upstream.answered()
         val first = upstream.seenAt == null
         upstream.seenAt = sentAt
         runs.observed(upstream, sentAt, seen)
