Acknowledge no ends to an upstream that may have restarted

The number of the last stored end of the earlier incarnation was sent until an answer showed the new one, which dropped its own ends up to that number unseen; the run then counted as lost.

Ends are now acknowledged only within 1 s after an answer and never after a failed request; otherwise the number is 0, which drops nothing.

Before: RestartedUpstreamTest 5 of 5 cases failed.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -17,6 +17,13 @@
     val observeGap: Duration = Duration.ofMillis(120),
     /** Delay after an observe request that failed. */
     val observeRetry: Duration = Duration.ofMillis(400),
+    /**
+     * Time after an answer within which received ends are acknowledged.
+     *
+     * A restarted upstream numbers its ends anew, and would drop those up to the number of its earlier incarnation. It
+     * is away for longer than this.
+     */
+    val acknowledgeWithin: Duration = Duration.ofSeconds(1),
     /** Consecutive failed observe requests after which leases are no longer renewed. */
     val failuresBeforeNoRenewal: Int = 2,
     /** Factor by which the monotonic clock of an upstream may run slow. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
@@ -60,6 +60,9 @@
     var fellSilent = false
         private set
 
+    /** When the last answer to an observe request arrived. */
+    private var lastAnsweredAt: Instant = Instant.MIN
+
     /** Latest time at which leases granted by this owner can expire. */
     var leasesExpireBy: Instant = Instant.MIN
     var leaseGrantedAt: Instant = Instant.MIN
@@ -82,11 +85,18 @@
         failedObservations++
     }
 
-    fun answered() {
+    fun answered(now: Instant) {
         failedObservations = 0
         fellSilent = false
+        lastAnsweredAt = now
     }
 
+    /** True if the last observe request was answered, at most [time] before [now]. */
+    fun answeredWithin(
+        time: Duration,
+        now: Instant,
+    ): Boolean = failedObservations == 0 && !now.isAfter(lastAnsweredAt.plus(time))
+
     fun readClock(
         millis: Long,
         now: Instant,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -102,7 +102,7 @@
         upstream.readClock(seen.clockMillis, state.now)
         // A report without a start time tells nothing about a restart.
         if (seen.incarnation != Observation.Seen.UNKNOWN_INCARNATION) checkIncarnation(upstream, sentAt, seen)
-        upstream.answered()
+        upstream.answered(state.now)
         val first = upstream.seenAt == null
         upstream.seenAt = sentAt
         runs.observed(upstream, sentAt, seen)
@@ -246,13 +246,17 @@
                 upstream = upstream.id,
                 address = upstream.address,
                 token = state.tokenFor(upstream),
-                acknowledgeUpTo = upstream.lastStoredEnd,
+                acknowledgeUpTo = acknowledgeable(upstream),
                 leaseUntilMillis = if (renews) leases.grant(upstream) else null,
                 waitMillis = if (immediately) 0 else limits.observeWait.toMillis(),
             ),
         )
     }
 
+    /** Returns the last end to acknowledge; none while the upstream may have restarted unseen. */
+    private fun acknowledgeable(upstream: Upstream): Long =
+        if (upstream.answeredWithin(limits.acknowledgeWithin, state.now)) upstream.lastStoredEnd else 0
+
     private fun isRenewalDue(upstream: Upstream): Boolean =
         upstream.seenAt?.plus(limits.observeWait)?.isBefore(state.now) ?: true
 
