--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CrashTracker.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CrashTracker.kt
@@ -142,24 +142,26 @@
         // Decided before any crash is counted, as each count changes the comparison.
         return present.mapNotNull { run ->
             run.step?.let {
-                OpenCase(it, run.task.index, incarnation, evidenceOf(run, present), isPrimeSuspect(run, present))
+                OpenCase(it, run.task.index, incarnation, evidenceOf(run, it, present), isPrimeSuspect(run, present))
             }
         }
     }
 
     /**
-     * Returns how certain it is that [run] existed on its upstream when that crashed.
+     * Returns how certain it is that [run] of [step] existed on its upstream when that crashed.
      *
      * An order without an answer counts only if no earlier one in [present] can have crashed the upstream. One that
      * timed out may have met an upstream that was down already, or may have been late, so the upstream must have
-     * answered immediately before it.
+     * answered immediately before it. A run on an upstream that fell silent may have ended unseen before the crash,
+     * unless it is long-running.
      */
     private fun evidenceOf(
         run: Run,
+        step: StepRun,
         present: List<Run>,
     ): CrashEvidence =
         when {
-            run.isStartAnswered && run.upstream.fellSilent -> run.step?.let(::evidenceUnseen) ?: CrashEvidence.NONE
+            run.isStartAnswered && run.upstream.fellSilent && !step.spec.longRunning -> CrashEvidence.LIKELY
             run.isStartAnswered -> CrashEvidence.PROVEN
             hasOutlived(run) || present.any { isEarlierUnanswered(it, run) } -> CrashEvidence.NONE
             run.isConnectionBroken -> CrashEvidence.PROVEN
@@ -167,10 +169,6 @@
             else -> CrashEvidence.NONE
         }
 
-    /** A run may have ended while its upstream could not be observed before the crash. */
-    private fun evidenceUnseen(step: StepRun): CrashEvidence =
-        if (step.spec.longRunning) CrashEvidence.PROVEN else CrashEvidence.LIKELY
-
     /** Of the orders for one step that were sent together, the one for the lowest index is the earliest. */
     private fun isEarlierUnanswered(
         other: Run,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobController.kt
@@ -199,8 +199,8 @@
 
     /** The store refuses the record with [key]: its job cannot be kept, and must not hold up the others. */
     fun recordRefused(key: String) {
-        val id = JobId(JobRecords.jobOf(key.substringAfter('/')))
-        state.decided("record-refused", id, "key $key")
+        val id = JobRecords.jobOfKey(key)
+        state.decided("record-refused", id ?: key, "key $key")
         val job = state.jobs[id] ?: return
         if (job.stored) {
             if (!job.phase.isFinal) fail(job, "the store refuses a record of the job")
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRecords.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRecords.kt
@@ -39,6 +39,12 @@
     /** Returns the id of the job that a key without its prefix belongs to. */
     fun jobOf(key: String): String = key.substringBefore(PART_SEPARATOR)
 
+    /** Returns the id of the job that a whole key belongs to, or null for keys of other records. */
+    fun jobOfKey(key: String): JobId? =
+        listOf(ShardKeyPrefixes.SUBMISSION, ShardKeyPrefixes.PROGRESS, ShardKeyPrefixes.CRASHES)
+            .find(key::startsWith)
+            ?.let { JobId(jobOf(key.removePrefix(it))) }
+
     /** Returns the number of the part that a key belongs to. */
     fun partOf(key: String): Int = key.substringAfter(PART_SEPARATOR, "0").toIntOrNull() ?: 0
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Journal.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Journal.kt
@@ -116,8 +116,8 @@
         batch.take(submissions) { listOf(record(ShardKeyPrefixes.SUBMISSION + it.id, SUBMISSIONS, it.submission)) }
         batch.take(changed, { !it.phase.isFinal }, ::progressRecords)
         batch.take(crashesChanged) { if (it.phase.isFinal) emptyList() else crashRecords(it) }
-        batch.take(upstreams.keys.toMutableSet()) {
-            listOf(record(ShardKeyPrefixes.UPSTREAM + it, UPSTREAMS, upstreams.remove(it)))
+        batch.take(upstreams.entries) { (id, used) ->
+            listOf(record(ShardKeyPrefixes.UPSTREAM + id, UPSTREAMS, used))
         }
         batch.take(orphanedKeys) { listOf(KeyedRecord(it, null)) }
         return batch.records
@@ -142,8 +142,8 @@
             while (bytes < MAX_BYTES && remaining.hasNext()) {
                 val item = remaining.next()
                 if (!included(item)) continue
-                remaining.remove()
                 this += recordsOf(item)
+                remaining.remove()
             }
         }
     }
@@ -176,10 +176,8 @@
     private fun endRecords(ended: List<JobRun>): List<KeyedRecord> {
         val groups = finished.add(ended.map { it.finished() }) + expiredGroups
         expiredGroups.clear()
-        val records =
-            groups.mapTo(
-                ArrayList(),
-            ) { record(ShardKeyPrefixes.FINISHED + it, GROUPS, finished.recordOf(it)) }
+        val records = ArrayList<KeyedRecord>()
+        groups.mapTo(records) { record(ShardKeyPrefixes.FINISHED + it, GROUPS, finished.recordOf(it)) }
         ended.forEach { job ->
             job.endHandedToStore = true
             // A successor that finds the group and the submission takes the job for ended.
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/TaskOutcomes.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/TaskOutcomes.kt
@@ -60,14 +60,13 @@
         }
         val index = row.task.index
         step.failedOn += upstream
-        // The attempts of long-running tasks have no limit, and their number none either.
-        if (step.spec.longRunning) {
-            state.decided("run-failed", row.task, "run ${row.run} on $upstream")
-            return requeue(step, index)
-        }
         // Run numbers, not a count: an end that was stored but not acknowledged is reported again to a successor.
-        val failed = step.failures.merge(index, setOf(row.run), Set<Long>::plus).orEmpty()
-        state.decided("run-failed", row.task, "run ${row.run} on $upstream, failure ${failed.size}")
+        val failed = step.failures[index].orEmpty() + row.run
+        val failure = if (step.spec.longRunning) "" else ", failure ${failed.size}"
+        state.decided("run-failed", row.task, "run ${row.run} on $upstream$failure")
+        // Long-running tasks may fail without limit, so their failures are not collected.
+        if (step.spec.longRunning) return requeue(step, index)
+        step.failures[index] = failed
         state.journal.changed(step.job)
         val limit = state.queueOf(step.job)?.maxAttempts
         // The members of a gang share the number of a run, and several of them may fail in it.
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/CrashRecord.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/CrashRecord.kt
@@ -17,7 +17,7 @@
     val crashed: Set<UpstreamIncarnation> = emptySet(),
     /** Incarnation on which the latest run of the task was to start, or null if that run has ended. */
     val trial: UpstreamIncarnation? = null,
-    /** Incarnations that crashed, and answered immediately before the order to start the task was sent. */
+    /** Incarnations that crashed after they fell silent with the task, or had answered right before its start order. */
     val likely: Set<UpstreamIncarnation> = emptySet(),
     /** Incarnations that crashed, but may never have received the order to start the task. */
     val unproven: Set<UpstreamIncarnation> = emptySet(),
