--- a/review/standins-2/Queue.java
+++ b/review/standins-2/Queue.java
@@ -47,6 +47,12 @@
         return Json.text(Json.object(answer.body()), "state", "none");
     }
 
+    /** Returns how many jobs are said to wait in the queue, or -1 without an answer. */
+    long pending() {
+        Web.Answer answer = call("GET", "", null);
+        return answer.status() == 200 ? Json.number(Json.object(answer.body()), "pending", -1) : -1;
+    }
+
     boolean cancel(String id) {
         int status = call("DELETE", id, null).status();
         return status / 100 == 2 || status == 410;
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -50,6 +50,10 @@
     private static final long CLOCK_AT_START_MS = 100_000;
     private static final int LISTED_ENDS = 500;
 
+    /** A machine without power answers nothing; callers give up long before this. */
+    private static final long SILENCE_MS = 120_000;
+    private static final long MISSED_BEATS = 3;
+
     final String id;
     final long cpu;
     final Map<String, Run> running = new LinkedHashMap<>();
@@ -68,6 +72,8 @@
     private long seq;
     private HttpServer server;
     private volatile boolean up;
+    private volatile boolean dark;
+    private volatile boolean cutOff;
 
     Worker(Platform platform, String id, String service, String kind, String rack, long cpu, long memMb) {
         this.platform = platform;
@@ -93,6 +99,10 @@
         return server.getAddress().getPort();
     }
 
+    boolean isDark() {
+        return dark;
+    }
+
     long usedCpu() {
         return running.values().stream().mapToLong(run -> run.step.cpu).sum();
     }
@@ -100,7 +110,7 @@
     private void beat() {
         while (up) {
             seq++;
-            platform.store.put("keyed.servers", id, Json.write(Json.map(
+            if (!cutOff) platform.store.put("keyed.servers", id, Json.write(Json.map(
                     "service", service, "address", Web.HOST + ":" + port(), "zone", "zone-a", "version", "v1",
                     "slots", 8L, "state", "ready", "cold_remaining_ms", 0L, "seq", seq, "born", bornMs,
                     "capacity", Json.map("cpu", cpu, "mem_mb", memMb, "gpu", 0L), "labels", List.of(kind, rack),
@@ -119,6 +129,10 @@
 
     private void handle(HttpExchange exchange, Map<String, String> query) throws Exception {
         String path = exchange.getRequestURI().getPath();
+        if (dark || cutOff) {
+            Thread.sleep(SILENCE_MS);
+            return;
+        }
         if (path.equals("/health")) {
             Web.answer(exchange, 200, "{}");
             return;
@@ -142,6 +156,10 @@
             answer.put("clock_ms", clock());
             answer.put("born", bornMs);
         }
+        if (status == 0) {
+            Thread.sleep(SILENCE_MS);
+            return;
+        }
         Web.answer(exchange, status, Json.write(answer));
     }
 
@@ -210,11 +228,12 @@
         });
         long token = highestToken;
         long until = System.nanoTime() + Math.min(2_000, Json.number(body, "wait_ms", 0)) * 1_000_000;
-        while (ends.isEmpty() && up) {
+        while (ends.isEmpty() && !dark && !cutOff) {
             long left = (until - System.nanoTime()) / 1_000_000;
             if (left <= 0) break;
             platform.wait(left);
         }
+        if (dark || cutOff) return 0;
         if (token < highestToken) {
             answer.put("reason", "fence");
             return 409;
@@ -272,6 +291,64 @@
         }
     }
 
+    /** Is partitioned from all machines and the store, and runs on. */
+    void cutOff() {
+        synchronized (platform) {
+            cutOff = true;
+            platform.record.line(id + " is cut off");
+            platform.notifyAll();
+        }
+    }
+
+    /** Crashes and starts again under its id: it holds and knows nothing of before. */
+    void restart() {
+        synchronized (platform) {
+            for (Run run : new ArrayList<>(running.values())) {
+                run.end = "crashed";
+                run.endedAt = System.nanoTime();
+            }
+            platform.record.line(id + " crashes with " + running.size() + " run(s) at work, and starts again");
+            running.clear();
+            ends.clear();
+            closedRuns.clear();
+            lastEnd = 0;
+            highestToken = 0;
+            dueMs = 0;
+            seq = 0;
+            bornMs = System.currentTimeMillis();
+            bornAt = System.nanoTime();
+        }
+    }
+
+    void reconnect() {
+        cutOff = false;
+        platform.record.line(id + " is reachable again");
+    }
+
+    /** Loses power for good: nothing runs here any more, and nothing is answered, sent or refused. */
+    void losePower() {
+        synchronized (platform) {
+            dark = true;
+            up = false;
+            running.values().forEach(run -> {
+                run.end = "power lost";
+                run.endedAt = System.nanoTime();
+            });
+            running.clear();
+            platform.record.line(id + " loses power");
+        }
+        Thread expiry = new Thread(() -> {
+            try {
+                Thread.sleep(MISSED_BEATS * Platform.HEARTBEAT_MS);
+            } catch (InterruptedException e) {
+                return;
+            }
+            platform.store.put("keyed.servers", id, null);
+        });
+        expiry.setDaemon(true);
+        expiry.start();
+    }
+
     @Override
     public void close() {
         up = false;
