Take decisions that need the configuration again once it is known

Cause: an owner that has not read the configuration looked up limits and found none. A submission of a workspace was accepted without its limit, though its tasks might never fit.

Change: the attempts of all open tasks are counted again for each version of the configuration, before anything starts under it; this also covers a version that lowers the number.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -139,6 +139,8 @@
     private fun configure(config: CellConfig) {
         if (config.version < (state.config?.version ?: 0)) return
         state.config = config
+        outcomes.configured()
+        jobs.configured()
         state.dispatchNeeded = true
     }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobController.kt
@@ -19,7 +19,16 @@
         val since: Instant,
     )
 
+    private class DeferredSubmission(
+        val call: CallKey,
+        val request: JobRequest.Submit,
+        val since: Instant,
+    )
+
     private val pendingCalls = ArrayList<PendingCall>()
+
+    /** Submissions that arrived before the configuration that says what their workspace may run. */
+    private val deferred = ArrayList<DeferredSubmission>()
     private val latencies = JobLatencyRecorder(state)
     private val arrivals = WorkspaceArrivals()
 
@@ -57,6 +66,7 @@
         call: CallKey,
         request: JobRequest.Submit,
     ) {
+        if (request.workspace != null && state.config == null) return defer(call, request)
         val invalid = SubmissionCheck.problemOf(request) ?: limitProblemOf(request)
         if (invalid != null) {
             state.decided("submission-invalid", request.job, invalid)
@@ -75,6 +85,27 @@
         awaitStored(call, job)
     }
 
+    private fun defer(
+        call: CallKey,
+        request: JobRequest.Submit,
+    ) {
+        if (deferred.size >= MAX_DEFERRED) return refuse(call, request.job, NO_CONFIGURATION)
+        deferred += DeferredSubmission(call, request, state.now)
+    }
+
+    /** Decides on the submissions that waited for the configuration. */
+    fun configured() {
+        val waiting = deferred.toList()
+        deferred.clear()
+        waiting.forEach { submit(it.call, it.request) }
+    }
+
+    private fun refuseDeferred() {
+        val overdue = deferred.filter { Duration.between(it.since, state.now) > state.limits.storeStallTimeout }
+        deferred -= overdue.toSet()
+        overdue.forEach { refuse(it.call, it.request.job, NO_CONFIGURATION) }
+    }
+
     private fun recordOf(request: JobRequest.Submit): SubmissionRecord {
         val workspace = request.workspace?.let { state.config?.workspaces?.get(it) }
         return SubmissionRecord(
@@ -238,6 +269,7 @@
 
     /** Opens due occurrences, answers overdue callers, and drops finished jobs past their retention. */
     fun tick() {
+        refuseDeferred()
         answerOverdue()
         state.journal.groupsExpired(state.finished.expireBefore(state.now.minus(state.limits.retention)))
         state.jobs.values.forEach(::openDueOccurrences)
@@ -265,4 +297,10 @@
         }
         pendingCalls.removeAll((overdue + unsent).toSet())
     }
+
+    private companion object {
+        /** Bounds the memory of waiting submissions, of 4 KB each on average. */
+        const val MAX_DEFERRED = 2_000
+        const val NO_CONFIGURATION = "the owner has not read the configuration yet"
+    }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/TaskOutcomes.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/TaskOutcomes.kt
@@ -68,18 +68,43 @@
         if (step.spec.longRunning) return requeue(step, index)
         step.failures[index] = failed
         state.journal.changed(step.job)
-        val limit = state.queueOf(step.job)?.maxAttempts
-        // The members of a gang share the number of a run, and several of them may fail in it.
-        val counted =
-            if (step.spec.gang) {
-                step.failures.values
-                    .reduce(Set<Long>::union)
-                    .size
-            } else {
-                failed.size
-            }
-        if (limit == null || counted < limit) return requeue(step, index)
-        if (!step.job.phase.isFinal) jobs.fail(step.job, "task $index of step ${step.ref.step} failed $counted times")
+        if (!failIfExhausted(step, index)) requeue(step, index)
+    }
+
+    /**
+     * Fails the jobs whose tasks have used up their attempts.
+     *
+     * An end that arrives before the configuration finds no limit, and a new version may lower it, so this is called
+     * for each version before any task starts under it.
+     */
+    fun configured() {
+        val open = state.jobs.values.filter { !it.phase.isFinal }
+        for (step in open.flatMap { it.steps.values }) {
+            step.failures.keys.forEach { failIfExhausted(step, it) }
+        }
+    }
+
+    /** Fails the job of [step] if task [index] has used up its attempts; returns true if the job has ended. */
+    private fun failIfExhausted(
+        step: StepRun,
+        index: Int,
+    ): Boolean {
+        if (step.job.phase.isFinal) return true
+        if (step.isDone || step.done.get(index)) return false
+        val limit = state.queueOf(step.job)?.maxAttempts ?: return false
+        val count = failureCount(step, index)
+        if (count < limit) return false
+        jobs.fail(step.job, "task $index of step ${step.ref.step} failed $count times")
+        return true
+    }
+
+    /** The members of a gang share the number of a run, and several of them may fail in it. */
+    private fun failureCount(
+        step: StepRun,
+        index: Int,
+    ): Int {
+        val counted = if (step.spec.gang) step.failures.values else listOfNotNull(step.failures[index])
+        return counted.fold(emptySet<Long>(), Set<Long>::union).size
     }
 
     /** Makes task [index] waiting again, unless it is done, has a current run, or its job has ended. */
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -41,7 +41,7 @@
     val advice: AdviceTerms? = null,
     private val allowedShare: Double = 1.0,
     private val limits: CellLimits = CellLimits(),
-    private val queues: List<QueueConfig> = listOf(queue("q", advice)),
+    private var queues: List<QueueConfig> = listOf(queue("q", advice)),
     workspaces: WorkspaceDirectory? = null,
 ) {
     private val timeline = Timeline()
@@ -147,13 +147,17 @@
 
     fun run(time: Duration): Unit = timeline.run(time)
 
-    /** Crashes the owner; another process takes over the shard at once. */
-    fun takeOver() {
+    /** Crashes the owner; another process takes over at once, and reads the configuration after [configuredAfter]. */
+    fun takeOver(configuredAfter: Duration = Duration.ZERO) {
         token += 10
         pendingAppend = null
         val next = Cell(MEMBERS.first().address, token, limits, stored(), now)
         owner = next
-        deliver(CellEvent.Configured(config()))
+        if (configuredAfter.isZero) {
+            deliver(CellEvent.Configured(config()))
+        } else {
+            after(configuredAfter) { if (next === owner) deliver(CellEvent.Configured(config())) }
+        }
         deliver(CellEvent.HelpersChanged(members))
         deliver(CellEvent.Listed(listedEntries()))
         deliver(CellEvent.ListConfirmed(now))
@@ -176,6 +180,13 @@
         deliver(CellEvent.Configured(config()))
     }
 
+    /** Puts a new version of the configuration with [changed] in force. */
+    fun configure(changed: List<QueueConfig>) {
+        queues = changed
+        version++
+        deliver(CellEvent.Configured(config()))
+    }
+
     /** Returns the finished jobs in the store. */
     fun finished(): List<FinishedJob> = stored().finished.values.flatMap { it.jobs }
 
