Keep no upstream free for a gang that cannot start beside tasks that last

Cause: reservations and the choice of a rack judged a gang against empty upstreams, although tasks that last never make room.

Change: what tasks that last use does not count as room that becomes free; tasks that last may start on reserved upstreams.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
@@ -138,6 +138,7 @@
             restarts = upstream.restarts,
             runsSuspect = state.suspectRuns.any { it.upstream === upstream },
             speedLevel = upstream.speed.level(averageSpeed),
+            usedForGood = upstream.usedForGood,
         )
     }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -293,6 +293,8 @@
     /** True once a crash is attributed to the run, which then only has to be confirmed as over. */
     var isCrashAttributed = false
 
+    val isLongRunning: Boolean get() = step?.spec?.longRunning == true
+
     /** True unless no start order was sent. */
     val mayHaveStarted: Boolean get() = startAttempts > 0 || status != Status.STARTING
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
@@ -18,6 +18,8 @@
     var runsSuspect: Boolean = false,
     /** Learned speed in levels; 0 is the average. */
     val speedLevel: Int = 0,
+    /** Resources held by long-running tasks, for which nothing has to wait. */
+    private val usedForGood: Resources = Resources.NONE,
 ) {
     private var freeCpu = capacity.cpuMillicores - used.cpuMillicores
     private var freeMemory = capacity.memoryMebibytes - used.memoryMebibytes
@@ -50,8 +52,11 @@
         return maxOf(count, 0)
     }
 
-    /** True if a task of [size] fits as long as nothing else runs here. */
-    fun fitsWhenIdle(size: Resources): Boolean = size.fitsIn(capacity)
+    /** Returns how many tasks of [size] fit here once all tasks that end have ended, at most [limit]. */
+    fun fitCountWhenIdle(
+        size: Resources,
+        limit: Int,
+    ): Int = PlacementTarget(id, capacity, usedForGood).fitCount(size, limit)
 
     fun allocate(size: Resources) {
         freeCpu -= size.cpuMillicores
@@ -118,8 +123,9 @@
             outranks(target.reservedForPriority) &&
             (!yieldsCapacity || outranks(target.softReservedForPriority))
 
-    /** True if there is no reservation, or one for less urgent steps only. */
-    private fun outranks(priority: Int?): Boolean = priority == null || (!rank.beyondShare && rank.priority < priority)
+    /** True if there is no reservation, or one for less urgent steps only; tasks that last do not wait for others. */
+    private fun outranks(priority: Int?): Boolean =
+        priority == null || spec.longRunning || (!rank.beyondShare && rank.priority < priority)
 }
 
 /** Resources that a task of the step reserves on its upstream; spare processor time is not reserved. */
@@ -239,7 +245,7 @@
     private fun block(demand: Demand) {
         blocked += demand
         if (!mayReserve(demand.rank) || demand.yieldsCapacity || !isBusy) return
-        val awaited = targets.filter { demand.allows(it) && it.fitsWhenIdle(demand.size) }
+        val awaited = targets.filter { demand.allows(it) && it.fitCountWhenIdle(demand.size, 1) == 1 }
         // A gang that could not start even if all of them were idle must not keep them idle.
         if (demand.spec.gang && !gangFitsWhenIdle(demand, awaited)) return
         awaited.forEach { it.softReserveFor(demand.rank.priority) }
@@ -349,10 +355,7 @@
     private fun gangFitsWhenIdle(
         demand: Demand,
         targets: List<PlacementTarget>,
-    ): Boolean =
-        targets.sumOf {
-            PlacementTarget(it.id, it.capacity, Resources.NONE).fitCount(demand.size, maxPerTarget(demand))
-        } >= demand.tasks.size
+    ): Boolean = targets.sumOf { it.fitCountWhenIdle(demand.size, maxPerTarget(demand)) } >= demand.tasks.size
 
     /** Returns a target for each task, or null if not all tasks fit. */
     private fun fill(
@@ -381,11 +384,10 @@
         if (!gangFitsWhenIdle(demand, usable)) return
         reservedGangs++
         var missing = demand.tasks.size
-        for (target in usable.sortedByDescending { it.freeMillicores }) {
+        val suitable = usable.filter { it.fitCountWhenIdle(demand.size, 1) == 1 }
+        for (target in suitable.sortedByDescending { it.freeMillicores }) {
             if (missing <= 0) return
-            val fitCountWhenIdle =
-                PlacementTarget(target.id, target.capacity, Resources.NONE).fitCount(demand.size, maxPerTarget(demand))
-            missing -= fitCountWhenIdle
+            missing -= target.fitCountWhenIdle(demand.size, maxPerTarget(demand))
             target.reservedForPriority = demand.rank.priority
         }
     }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
@@ -34,6 +34,10 @@
     /** Resources reserved by [runs]. A run holds them until its end is certain. */
     var used: Resources = Resources.NONE
 
+    /** The part of [used] that is held by long-running tasks, which do not end by themselves. */
+    var usedForGood: Resources = Resources.NONE
+        private set
+
     /** Number of runs of unknown jobs, which use an unknown amount of resources until they end. */
     private var unknownRuns = 0
 
@@ -123,12 +127,14 @@
     fun add(run: Run) {
         check(runs.put(run.task, run) == null) { "${run.task} already has a run on $id" }
         used += run.resources
+        if (run.isLongRunning) usedForGood += run.resources
         if (run.step == null) unknownRuns++
     }
 
     fun remove(run: Run) {
         check(runs.remove(run.task, run)) { "${run.task} has no run ${run.number} on $id" }
         used -= run.resources
+        if (run.isLongRunning) usedForGood -= run.resources
         if (run.step == null) unknownRuns--
     }
 
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
@@ -40,6 +40,7 @@
     var incarnation = 1L
     var listed = true
     var leavesIn: Duration? = null
+    var rack: String? = null
     var failsEverything = false
 
     /** True from a crash until the restart; no call is answered meanwhile. */
@@ -73,7 +74,7 @@
     fun clock(): Long = Duration.between(bootedAt, world.now).toMillis()
 
     val entry: UpstreamEntry
-        get() = UpstreamEntry(id, "$id:1", "pool", "domain", "region", capacity, leavesIn = leavesIn)
+        get() = UpstreamEntry(id, "$id:1", "pool", "domain", "region", capacity, rack = rack, leavesIn = leavesIn)
 
     /** Ends all runs without a report; the upstream restarts after [downTime]. */
     fun crash(downTime: Duration) {
@@ -83,6 +84,9 @@
         world.after(downTime) { restart() }
     }
 
+    /** Ends the run of [task] as failed. */
+    fun fail(task: TaskRef): Unit = end(running.getValue(task), RunEnd.FAILED)
+
     /** Changes the capacity while tasks run. */
     fun resize(newCapacity: Resources) {
         world.resized(this)
