--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/AdviceUnderLoadTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/AdviceUnderLoadTest.kt
@@ -68,7 +68,7 @@
         expectThat(laxity(runMillis, leftMillis, gang).slowestTolerated?.toString() ?: "none").isEqualTo(level)
     }
 
-    /** At the slowest level at which it is in time, a step ends before its deadline, and one level below it does not. */
+    /** At its slowest level in time a step ends before its deadline, and one level below it does not. */
     @ParameterizedTest
     @CsvSource("4000, 4000", "4000, 9000", "4000, 3000", "500, 5000")
     fun `the slowest level in time is the last one that meets the deadline`(
