Simplify the learned run times and the order of placement

Change: unused members go; UpstreamSpeed.averageOf and helpersBeyond serve both places; Candidate compares its own fields. Two cases of a test share their set-up. Nothing behaves differently.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/AdviceCallBalancer.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/AdviceCallBalancer.kt
@@ -89,14 +89,14 @@
         val eligible =
             when {
                 cost > limits.longAdvice -> helpersForLongCalls()
-                cost > limits.urgentAdvice -> helpers.drop((helpers.size * limits.urgentAdviceShare).toInt())
+                cost > limits.urgentAdvice -> helpersBeyond(limits.urgentAdviceShare)
                 else -> helpers
             }
         return eligible.filter { it.calls < limits.maxAdviceCallsPerHelper }.minByOrNull { it.backlog }
     }
 
-    private fun helpersForLongCalls(): List<Helper> {
-        val reserved = (helpers.size * limits.shortAdviceShare).toInt()
-        return helpers.drop(reserved)
-    }
+    private fun helpersForLongCalls(): List<Helper> = helpersBeyond(limits.shortAdviceShare)
+
+    /** Returns the helpers without the [reserved] share of them. */
+    private fun helpersBeyond(reserved: Double): List<Helper> = helpers.drop((helpers.size * reserved).toInt())
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellState.kt
@@ -1,6 +1,7 @@
 package org.anvilbarrow.kernel.jobs
 
 import org.anvilbarrow.kernel.runtimes.RunTimeModel
+import org.anvilbarrow.kernel.runtimes.UpstreamSpeed
 import org.anvilbarrow.kernel.workspaces.ResourceTotals
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobId
@@ -76,7 +77,7 @@
     /** Returns the learned speed level of each listed upstream. */
     fun speedLevels(): List<Int> {
         val speeds = upstreams.values.filter { it.isListed }.map { it.speed }
-        val average = speeds.sumOf { it.logarithm } / maxOf(speeds.size, 1)
+        val average = UpstreamSpeed.averageOf(speeds)
         return speeds.map { it.level(average) }
     }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
@@ -1,5 +1,6 @@
 package org.anvilbarrow.kernel.jobs
 
+import org.anvilbarrow.kernel.runtimes.UpstreamSpeed
 import org.anvilbarrow.kernel.workspaces.ResourceTotals
 import org.anvilbarrow.protocol.jobs.Ticket
 import org.anvilbarrow.protocol.model.UpstreamId
@@ -81,7 +82,7 @@
         usable: List<Upstream>,
     ) {
         val listed = listed(pool)
-        val averageSpeed = usable.sumOf { it.speed.logarithm } / maxOf(usable.size, 1)
+        val averageSpeed = UpstreamSpeed.averageOf(usable.map { it.speed })
         val targets = usable.map { target(it, averageSpeed) }
         val rank = Ranking(state)
         val budget = WorkspaceBudget(unused)
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Planner.kt
@@ -65,17 +65,6 @@
     }
 }
 
-/** Order in which a task tries the upstreams that fit it, smallest first; among equals, the fullest one is the best. */
-internal data class TargetPreference(
-    val penalty: Int,
-    val speedRank: Int,
-    /** Waiting steps with large tasks that may run there, which small tasks avoid. */
-    val waitingLargeSteps: Int,
-) : Comparable<TargetPreference> {
-    override fun compareTo(other: TargetPreference): Int =
-        compareValuesBy(this, other, { it.penalty }, { it.speedRank }, { it.waitingLargeSteps })
-}
-
 /** Order in which steps are placed, smallest first. */
 internal data class Rank(
     /** True if the job is beyond the share of its workspace; it runs where others leave room. */
@@ -251,12 +240,14 @@
         awaited.forEach { it.softReserveFor(demand.rank.priority) }
     }
 
-    /** A possible target for tasks of [demand]. */
+    /** A possible target for tasks of [demand]; among equals, the fullest one is preferred. */
     private inner class Candidate(
         private val demand: Demand,
         val target: PlacementTarget,
     ) : Comparable<Candidate> {
-        private val preference = preferenceFor(demand, target)
+        private val penalty = penaltyOf(demand, target)
+        private val speedRank = speedRankOf(demand, target)
+        private val awaited = if (isLarge(demand.size)) 0 else target.waitingLargeSteps
         private var remaining: Int =
             demand.spec.maxPerUpstream.let { if (it == 0) Int.MAX_VALUE else it - demand.runningCountOn(target.id) }
 
@@ -267,21 +258,17 @@
             remaining--
         }
 
-        override fun compareTo(other: Candidate): Int {
-            val byPreference = preference.compareTo(other.preference)
-            return if (byPreference != 0) byPreference else target.freeMillicores.compareTo(other.target.freeMillicores)
-        }
+        override fun compareTo(other: Candidate): Int =
+            compareValuesBy(
+                this,
+                other,
+                { it.penalty },
+                { it.speedRank },
+                { it.awaited },
+                { it.target.freeMillicores },
+            )
     }
 
-    private fun preferenceFor(
-        demand: Demand,
-        target: PlacementTarget,
-    ) = TargetPreference(
-        penaltyOf(demand, target),
-        speedRankOf(demand, target),
-        if (isLarge(demand.size)) 0 else target.waitingLargeSteps,
-    )
-
     /** An earlier failure on the upstream weighs most, then remote data, then a suspect there. */
     private fun penaltyOf(
         demand: Demand,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/runtimes/QueueRunTimes.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/runtimes/QueueRunTimes.kt
@@ -24,15 +24,10 @@
     var varianceWithin = INITIAL_VARIANCE_WITHIN
         private set
 
-    /** Number of steps learned from, at most [WINDOW_STEPS]. */
-    val steps: Double get() = weight
-
-    /** Share of the learned relation in [expected]; the rest is the caller's estimate. */
-    val confidence: Double get() = weight / (weight + PRIOR_STEPS)
-
     /** Returns the expected logarithm of the run time of a task with an estimate of e^[logEstimate]. */
     fun expected(logEstimate: Double): Double {
         val learned = meanY + slope() * (logEstimate - meanX)
+        val confidence = weight / (weight + PRIOR_STEPS)
         return confidence * learned + (1 - confidence) * logEstimate
     }
 
@@ -46,11 +41,12 @@
         tasks: Int,
     ) {
         val bound = OUTLIER_DEVIATIONS * sqrt(variance + varianceWithin / tasks)
-        val deviation = (logTime - expected(logEstimate)).coerceIn(-bound, bound)
-        val bounded = expected(logEstimate) + deviation
+        val expected = expected(logEstimate)
+        val deviation = (logTime - expected).coerceIn(-bound, bound)
+        val bounded = expected + deviation
         weight = minOf(weight + 1, WINDOW_STEPS)
         val gain = 1 / weight
-        variance = moved(variance, deviation * deviation, tasks = 1)
+        variance = moved(variance, deviation * deviation, VARIANCE_WINDOW_STEPS)
         val fromX = logEstimate - meanX
         val fromY = bounded - meanY
         meanX += gain * fromX
@@ -63,14 +59,14 @@
     fun learnWithin(deviation: Double) {
         val bound = OUTLIER_DEVIATIONS * sqrt(varianceWithin)
         val bounded = deviation.coerceIn(-bound, bound)
-        varianceWithin = moved(varianceWithin, bounded * bounded, TASKS_PER_STEP)
+        varianceWithin = moved(varianceWithin, bounded * bounded, VARIANCE_WINDOW_TASKS)
     }
 
     private fun moved(
         old: Double,
         sample: Double,
-        tasks: Int,
-    ): Double = maxOf(old + (sample - old) / (VARIANCE_WINDOW_STEPS * tasks), MIN_VARIANCE)
+        window: Int,
+    ): Double = maxOf(old + (sample - old) / window, MIN_VARIANCE)
 
     private companion object {
         /** Older steps count less and less, so that the relation follows a change of the work. */
@@ -79,7 +75,7 @@
         /** Steps after which the learned relation counts as much as the caller's estimate. */
         const val PRIOR_STEPS = 20.0
         const val VARIANCE_WINDOW_STEPS = 50
-        const val TASKS_PER_STEP = 8
+        const val VARIANCE_WINDOW_TASKS = 400
         const val INITIAL_VARIANCE = 0.25
         const val INITIAL_VARIANCE_WITHIN = 0.09
         const val MIN_VARIANCE = 0.0025
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/runtimes/RunTimeModel.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/runtimes/RunTimeModel.kt
@@ -37,9 +37,6 @@
         return Duration.ofMillis(exp(known.expected(ln(estimate.toMillis().toDouble()))).toLong())
     }
 
-    /** Share of what was learned in the result of [expected]; 0 if the estimate alone decides. */
-    public fun confidence(queue: String): Double = queues[queue]?.confidence ?: 0.0
-
     /** Learns from the [times] of a step of [queue] whose tasks ran one by one. */
     public fun learn(
         queue: String,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/runtimes/UpstreamSpeed.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/runtimes/UpstreamSpeed.kt
@@ -26,18 +26,11 @@
     public var logarithm: Double = 0.0
         private set
 
-    /** Number of samples so far. */
-    public var samples: Int = 0
-        private set
-
-    /** Expected speed as a multiple of the average. */
-    public val factor: Double get() = exp(logarithm)
-
     /** Returns the expected time here of a task that takes [average] on an upstream of average speed. */
-    public fun timeOf(average: Duration): Duration = Duration.ofMillis((average.toMillis() / factor).toLong())
+    public fun timeOf(average: Duration): Duration = Duration.ofMillis((average.toMillis() / exp(logarithm)).toLong())
 
     /** Standard deviation of [logarithm]. */
-    public val uncertainty: Double get() = sqrt(1 / precision)
+    private val uncertainty: Double get() = sqrt(1 / precision)
 
     /**
      * Returns the speed in steps of [LEVEL_RATIO], 0 near the [average] of the logarithms.
@@ -64,10 +57,13 @@
         val weight = 1 / variance
         logarithm += deviation * weight / (precision + weight)
         precision = minOf(precision + weight, MAX_PRECISION)
-        samples++
     }
 
     public companion object {
+        /** Returns the average of the logarithms of [speeds], or 0 if there are none. */
+        public fun averageOf(speeds: Collection<UpstreamSpeed>): Double =
+            speeds.sumOf { it.logarithm } / maxOf(speeds.size, 1)
+
         /** Ratio of the speeds of neighbouring levels. */
         public const val LEVEL_RATIO: Double = 1.2
         private val LOG_LEVEL_RATIO = ln(LEVEL_RATIO)
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/LateConfigurationTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/LateConfigurationTest.kt
@@ -66,9 +66,7 @@
     /** A task larger than its workspace may run is never started, so its job must not be accepted. */
     @Test
     fun `a submission waits for the limits of its workspace`() {
-        val world = JobWorld(workspaces = workspaces())
-        world.run(second)
-        world.takeOver(configuredAfter = Duration.ofMillis(300))
+        val world = unconfigured(Duration.ofMillis(300))
         val call = world.submit("a", step(1, cpuMillicores = 4_000), workspace = "small")
         world.run(Duration.ofMillis(200))
         expectThat(world.answers[call]).isNull()
@@ -78,9 +76,7 @@
 
     @Test
     fun `a submission is refused if the configuration stays unknown`() {
-        val world = JobWorld(workspaces = workspaces())
-        world.run(second)
-        world.takeOver(configuredAfter = second.multipliedBy(5))
+        val world = unconfigured(second.multipliedBy(5))
         val call = world.submit("a", step(1, cpuMillicores = 4_000), workspace = "small")
         world.run(second)
         expectThat(world.answers[call]).isA<JobAnswer.Refused>()
@@ -88,8 +84,14 @@
         expectThat(world.attempts()).isEqualTo(0)
     }
 
-    private fun workspaces() =
-        WorkspaceDirectory(listOf(Workspace("small", weight = 10.0, limit = ResourceTotals.limit(2_000, 0, 0))))
+    /** Returns a cell whose new owner reads the configuration [after] its takeover. */
+    private fun unconfigured(after: Duration): JobWorld {
+        val small = Workspace("small", weight = 10.0, limit = ResourceTotals.limit(2_000, 0, 0))
+        val world = JobWorld(workspaces = WorkspaceDirectory(listOf(small)))
+        world.run(second)
+        world.takeOver(configuredAfter = after)
+        return world
+    }
 
     /** Largest number of runs of one task. */
     private fun JobWorld.attempts(): Int =
