--- a/review/standins-3/Scheduler.java
+++ b/review/standins-3/Scheduler.java
@@ -23,7 +23,7 @@
     private final Record record;
     private Process process;
 
-    Scheduler(String name, String store, double cores, Path repository, Path folder, Record record) throws IOException {
+    Scheduler(String name, String store, String advice, double cores, Path repository, Path folder, Record record) throws IOException {
         this.name = name;
         this.repository = repository;
         this.folder = folder;
@@ -36,7 +36,7 @@
         Files.writeString(settings, "[vm]\nname = " + name + "\nregion = r1\nfailure-domain = za\nstop-grace = 6\ncore-share = " + cores
             + "\ncore-speed = 1\n\n[listen]\ncallers = 127.0.0.1:" + callers + "\nprobes = 127.0.0.1:" + probes
             + "\noperators = 127.0.0.1:" + operators + "\npeers = 127.0.0.1:" + peers + "\n\n[store]\naddress = " + store
-            + "\n\n[cell]\nregions = za:r1,zb:r2\nmax-lease = 6000\nretention = 120\nconfig-apply = 3000\n");
+            + (advice == null ? "" : "\n\n[advice]\naddress = " + advice) + "\n\n[cell]\nregions = za:r1,zb:r2\nmax-lease = 6000\nretention = 120\nconfig-apply = 3000\n");
     }
 
     private static int freePort() throws IOException {
--- a/review/standins-3/Worker.java
+++ b/review/standins-3/Worker.java
@@ -63,6 +63,9 @@
     private long leaseUntil;
     private boolean listed;
     private long lastBeatMs = Long.MIN_VALUE / 2;
+
+    /** Checks the tickets of starts, or null where the queue has no advice. */
+    volatile Advice advice;
     private volatile boolean cut;
     private volatile boolean closed;
 
@@ -266,6 +269,10 @@
         if ((Long) body.get("due_ms") < clock()) return conflict("late");
         extendLease(body);
         if (number <= closedRuns.getOrDefault(task, 0L)) return conflict("old");
+        if (advice != null && !advice.permits((String) body.get("ticket"), task, id)) {
+            record.line("worker %s: %s run %d rejected, the ticket is not for it", id, task, number);
+            return conflict("ticket");
+        }
         if (!running.containsKey(task)) {
             running.put(task, newRun((String) body.get("spec"), number));
             record.line("worker %s: %s run %d starts, token %d", id, task, number, highestToken);
