--- a/review/standins-3/Cell.java
+++ b/review/standins-3/Cell.java
@@ -41,11 +41,12 @@
 
     /** Makes a cell with a scheduler process for each entry of [cores]. */
     Cell(Path repository, Path recordFile, int workerCount, List<Double> cores) throws IOException {
-        this(repository, recordFile, workerCount, cores, false);
+        this(repository, recordFile, workerCount, cores, false, false);
     }
 
-    /** The same; the queue has advice if [advised]. */
-    Cell(Path repository, Path recordFile, int workerCount, List<Double> cores, boolean advised) throws IOException {
+    /** The same; the queue may have advice, and all processes but the first may stand in the region of the workers. */
+    Cell(Path repository, Path recordFile, int workerCount, List<Double> cores, boolean advised, boolean nearWorkers)
+        throws IOException {
         record = new Record(recordFile);
         folder = Files.createTempDirectory("anvilbarrow-review");
         Runtime.getRuntime().addShutdownHook(new Thread(() -> schedulers.forEach(Scheduler::end)));
@@ -55,7 +56,9 @@
         for (int i = 1; i <= workerCount; i++) workers.add(new Worker("worker-" + i, store, record, this, 32_000, 65_536));
         workers.forEach(worker -> worker.advice = advice);
         for (int i = 1; i <= cores.size(); i++) {
-            schedulers.add(new Scheduler("edge-" + i, store.address(), advice == null ? null : advice.listen(), cores.get(i - 1), repository, folder, record));
+            String adviceAddress = advice == null ? null : advice.listen();
+            boolean near = nearWorkers && i > 1;
+            schedulers.add(new Scheduler("edge-" + i, store.address(), adviceAddress, cores.get(i - 1), near, repository, folder, record));
         }
     }
 
--- a/review/standins-3/Scheduler.java
+++ b/review/standins-3/Scheduler.java
@@ -1,17 +1,22 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** One scheduler process, started with the command of the deploy file. */
 final class Scheduler {
+    private static final int LOWEST_PORT = 15_000;
+    private static final int HIGHEST_PORT = 30_000;
+
     final String name;
     final int callers;
     private final int probes;
@@ -23,7 +28,7 @@
     private final Record record;
     private Process process;
 
-    Scheduler(String name, String store, String advice, double cores, Path repository, Path folder, Record record) throws IOException {
+    Scheduler(String name, String store, String advice, double cores, boolean nearWorkers, Path repository, Path folder, Record record) throws IOException {
         this.name = name;
         this.repository = repository;
         this.folder = folder;
@@ -33,16 +38,24 @@
         operators = freePort();
         peers = freePort();
         settings = folder.resolve(name + ".ini");
-        Files.writeString(settings, "[vm]\nname = " + name + "\nregion = r1\nfailure-domain = za\nstop-grace = 6\ncore-share = " + cores
+        Files.writeString(settings, "[vm]\nname = " + name + "\nregion = " + (nearWorkers ? "r2" : "r1")
+            + "\nfailure-domain = " + (nearWorkers ? "zb" : "za") + "\nstop-grace = 6\ncore-share = " + cores
             + "\ncore-speed = 1\n\n[listen]\ncallers = 127.0.0.1:" + callers + "\nprobes = 127.0.0.1:" + probes
             + "\noperators = 127.0.0.1:" + operators + "\npeers = 127.0.0.1:" + peers + "\n\n[store]\naddress = " + store
             + (advice == null ? "" : "\n\n[advice]\naddress = " + advice) + "\n\n[cell]\nregions = za:r1,zb:r2\nmax-lease = 6000\nretention = 120\nconfig-apply = 3000\n");
     }
 
+    /** Returns a free port below those that the system takes for outgoing connections. */
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+        for (int attempt = 0; attempt < 100; attempt++) {
+            int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // Taken by another process.
+            }
         }
+        throw new IOException("no free port was found");
     }
 
     String peerAddress() {
