Tests that show the count of pending jobs too low, and a task that runs twice

What callers see: fewer jobs are reported as pending than wait, and a job whose start order reached nobody is shown as running.

A start order whose lease end was computed from the clock of an earlier incarnation is carried out late by the next one.

--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
@@ -43,6 +43,9 @@
     var rack: String? = null
     var failsEverything = false
 
+    /** True if start orders are rejected as late, as if their lease had ended on the way. */
+    var rejectsStarts = false
+
     /** True from a crash until the restart; no call is answered meanwhile. */
     var isDown = false
         private set
@@ -138,7 +141,7 @@
             current != null && current.run == order.run -> StartResult.Started
             current != null || order.run <= (closedRuns[order.task] ?: 0) ->
                 StartResult.NotStarted(NotStartedReason.OLD)
-            order.leaseUntilMillis < clock() -> StartResult.NotStarted(NotStartedReason.LATE)
+            rejectsStarts || order.leaseUntilMillis < clock() -> StartResult.NotStarted(NotStartedReason.LATE)
             else -> begin(order)
         }
     }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -93,6 +93,9 @@
     /** Upstreams without power: a call there gets no answer, and no error before its timeout. */
     private val dark = HashSet<UpstreamId>()
 
+    /** True if start orders take effect and their answers are lost. */
+    var losesAnswersToStarts = false
+
     /** Share of start orders that are not answered and take effect only after [lateBy]. */
     var lateShare = 0.0
     var lateBy: Duration = Duration.ofSeconds(3)
@@ -110,6 +113,9 @@
     var crashes = 0
         private set
     val startTimes = ArrayList<Instant>()
+
+    /** Jobs of which an upstream has started a task. */
+    val startedJobs = HashSet<JobId>()
     val specs = HashMap<JobId, JobSpec>()
 
     /** An order, the process through which it was sent, and the time from the start of the simulation until then. */
@@ -247,6 +253,12 @@
         return (answers[call] as? JobAnswer.State)?.phase
     }
 
+    /** Returns how many jobs of [queue] are reported as pending. */
+    fun pending(queue: String = "q"): Int? {
+        val call = ask(JobRequest.Pending(queue))
+        return (answers[call] as? JobAnswer.Count)?.pending
+    }
+
     private fun queueOf(id: String): String =
         stored().run {
             jobs.find { it.id.value == id }?.submission?.queue
@@ -367,7 +379,10 @@
             after(TIMEOUT) { reply(from) { CellEvent.Reported(order, sentAt, order.unanswered("late")) } }
             return
         }
-        send(order, from) { UpstreamReport.Started(it?.start(order) ?: StartResult.Unanswered("cut")) }
+        send(order, from) {
+            val result = it?.start(order) ?: StartResult.Unanswered("cut")
+            UpstreamReport.Started(if (losesAnswersToStarts) StartResult.Unanswered("answer lost") else result)
+        }
     }
 
     private fun send(
@@ -396,6 +411,7 @@
         used: Resources,
     ) {
         startTimes += now
+        startedJobs += order.task.step.job
         invariants.started(worker, order, used)
     }
 
