Lines and gauges that explain a pending count that is too low

A count of pending jobs left no line at the owner or at the entry process. A start order without an answer, an answer of another owner, an answer to another call and a confirmation by an earlier incarnation of an upstream could not be told apart.

Change: the owner logs pending-counted with the count, the open jobs, the jobs left out without a confirmed start, the age of their oldest order, its token and the call. The entry process logs pending-answered with the process and the call number of each shard. Gauges of pending jobs, unconfirmed jobs and unconfirmed starts are counted on the control thread once a second, as the metrics thread cannot safely iterate over its maps. StepRun.isStartConfirmed, which is not stored, is read by these only: a confirmed run that was lost leaves no other trace. OwnerGateway.answered takes the process that answered, so its tests pass one; their checks are unchanged. No answer to a caller changes.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -34,6 +34,7 @@
     private val dispatcher = Dispatcher(state, runs, workspaceLimits::unused)
     private val evacuation = Evacuation(state, runs)
     private val monitor = RunMonitor(state, runs)
+    private val pending = PendingGauges(state)
 
     init {
         watch.load(loaded)
@@ -61,6 +62,15 @@
     /** Runs whose end is not known. */
     public val openRuns: Int get() = state.upstreams.values.sumOf { it.runs.size }
 
+    /** Jobs that callers are told are pending, as of the last second. */
+    public val pendingJobs: Int get() = pending.jobs.pending
+
+    /** Open jobs that have start orders, none of which an upstream has confirmed, as of the last second. */
+    public val unconfirmedJobs: Int get() = pending.jobs.unconfirmed
+
+    /** Runs that were ordered and that no upstream has confirmed, as of the last second. */
+    public val unconfirmedStarts: Int get() = pending.unconfirmedStarts
+
     /** Steps that wait for capacity or advice. */
     public val waitingSteps: Int get() = state.ready.size
 
@@ -137,6 +147,7 @@
         evacuation.tick()
         dispatcher.tick()
         watch.tick()
+        pending.tick()
         // The expiry of tickets and the end of a quarantine cause no event.
         state.dispatchNeeded = true
     }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobController.kt
@@ -40,7 +40,7 @@
             is JobRequest.Submit -> submit(call, request)
             is JobRequest.Status -> state.answer(call, status(request))
             is JobRequest.Cancel -> cancel(call, request)
-            is JobRequest.Pending -> state.answer(call, pending(request.queue))
+            is JobRequest.Pending -> pending(call, request.queue)
         }
     }
 
@@ -166,8 +166,30 @@
         }
     }
 
-    private fun pending(queue: String): JobAnswer =
-        JobAnswer.Count(state.jobs.values.count { it.stored && it.queue == queue && !it.begun && !it.phase.isFinal })
+    private fun pending(
+        call: CallKey,
+        queue: String,
+    ) {
+        val count =
+            PendingCount(
+                state.jobs.values
+                    .asSequence()
+                    .filter { it.queue == queue },
+            )
+        state.answer(call, JobAnswer.Count(count.pending))
+        state.decided("pending-counted", queue, detailOf(count, call))
+    }
+
+    private fun detailOf(
+        count: PendingCount,
+        call: CallKey,
+    ): String {
+        val age = count.oldestOrderAt?.let { Duration.between(it, state.now).toMillis() }
+        val order = if (age == null) "no order under way" else "oldest order $age ms ago"
+        return "count ${count.pending} of ${count.open} open jobs, " +
+            "${count.unconfirmed} not counted without a confirmed start, $order, " +
+            "token ${state.token}, call ${call.origin}/${call.number}"
+    }
 
     private fun cancel(
         call: CallKey,
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -87,7 +87,13 @@
     fun remainingCriticalPath(step: Int): Long = criticalPathsFrom[step]
 
     val begun: Boolean
-        get() = steps.size < openedOccurrences * spec.steps.size || steps.values.any { it.begun }
+        get() = hasDoneOccurrence || steps.values.any { it.begun }
+
+    /** True if an upstream has confirmed the start of a task, as far as this owner knows. */
+    val isStartConfirmed: Boolean
+        get() = hasDoneOccurrence || steps.values.any { it.isStartConfirmed }
+
+    private val hasDoneOccurrence: Boolean get() = steps.size < openedOccurrences * spec.steps.size
 
     /** Due time of [occurrence], or the time of acceptance for a job without a schedule. */
     fun dueAt(occurrence: Int): Instant =
@@ -178,6 +184,9 @@
     val failedOn = HashSet<Upstream>()
     val crashes = StepCrashes()
     var begun = false
+
+    /** True once an upstream has answered a start order, or listed a run or an end. Not stored. */
+    var isStartConfirmed = false
     val advice = StepAdvice()
 
     /** When this owner first saw the step ready, first started a task of it, and saw it done. */
@@ -229,6 +238,7 @@
         failures += progress.failures
         checkpoints += progress.checkpoints
         begun = progress.begun
+        isStartConfirmed = !done.isEmpty || failures.isNotEmpty() || checkpoints.isNotEmpty()
     }
 
     override fun toString(): String = ref.toString()
--- /dev/null
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/PendingCount.kt
@@ -0,0 +1,40 @@
+package org.anvilbarrow.kernel.jobs
+
+import java.time.Instant
+
+/** Number of stored, unfinished jobs among [jobs], by what is known of their starts. */
+internal class PendingCount(
+    jobs: Sequence<JobRun>,
+) {
+    var open = 0
+        private set
+
+    /** Open jobs that callers are told are pending. */
+    var pending = 0
+        private set
+
+    /** Open jobs that are not counted as pending although this owner knows of no confirmed start. */
+    var unconfirmed = 0
+        private set
+
+    /** When the oldest order for an unconfirmed job was decided on, or null if none is under way. */
+    var oldestOrderAt: Instant? = null
+        private set
+
+    init {
+        jobs.filter { it.stored && !it.phase.isFinal }.forEach(::add)
+    }
+
+    private fun add(job: JobRun) {
+        open++
+        if (!job.begun) {
+            pending++
+        } else if (!job.isStartConfirmed) {
+            unconfirmed++
+            oldestOrderAt = listOfNotNull(oldestOrderAt, job.oldestOrderAt()).minOrNull()
+        }
+    }
+
+    private fun JobRun.oldestOrderAt(): Instant? =
+        steps.values.flatMap { it.active.values }.minOfOrNull { it.startedAt }
+}
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -197,6 +197,7 @@
     /** A run that is being stopped stays unanswered until its stop order is, as only then the order is not repeated. */
     private fun confirmStarted(run: Run) {
         run.isStartAnswered = true
+        run.step?.isStartConfirmed = true
         crashes.trialAdvanced(run, CrashEvidence.PROVEN)
         if (run.status != Run.Status.STARTING) return
         run.answeredAt = state.now
@@ -296,6 +297,7 @@
         row: RunningTask,
         sentAt: Instant,
     ) {
+        tasks.stepOf(row.task)?.isStartConfirmed = true
         val run = upstream.runs[row.task]
         when {
             run == null -> adopt(upstream, row)
@@ -388,6 +390,7 @@
         if (run != null && step != null && row.end == RunEnd.DONE) learner.ended(step, run)
         if (run != null) release(run)
         if (step == null) return
+        step.isStartConfirmed = true
         if (isKept(row.checkpoint) && !step.done.get(row.task.index)) {
             step.checkpoints[row.task.index] = row.checkpoint
             state.journal.changed(step.job)
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellMetrics.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellMetrics.kt
@@ -20,6 +20,13 @@
             gauge("anvilbarrow_owned_shards", "Shards that this process owns.") { controllers.count { it.isOwner } }
             gauge("anvilbarrow_open_jobs", "Jobs of the owned shards that are not finished.") { sum { it.openJobs } }
             gauge("anvilbarrow_open_runs", "Runs whose end is not known.") { sum { it.openRuns } }
+            gauge("anvilbarrow_pending_jobs", "Jobs that callers are told are pending.") { sum { it.pendingJobs } }
+            gauge("anvilbarrow_unconfirmed_jobs", "Open jobs whose only start orders are not confirmed.") {
+                sum { it.unconfirmedJobs }
+            }
+            gauge("anvilbarrow_unconfirmed_starts", "Runs that were ordered and are not confirmed.") {
+                sum { it.unconfirmedStarts }
+            }
             gauge("anvilbarrow_waiting_steps", "Steps that wait for room or advice.") { sum { it.waitingSteps } }
             gauge("anvilbarrow_slow_upstreams", "Upstreams learned to be slower than the average.") {
                 sum { it.slowUpstreams }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
@@ -108,7 +108,7 @@
                 answer: JobAnswer,
             ) {
                 if (call.origin == address) {
-                    gateway.answered(call.number, answer)
+                    gateway.answered(call.number, answer, address)
                 } else {
                     mesh.send(call.origin, CellMessage.Reply(call.number, answer))
                 }
@@ -295,7 +295,7 @@
                 control.post { controllers.getOrNull(message.shard)?.successorWanted(message.token, clock.instant()) }
             is CellMessage.Claimed ->
                 control.post { controllers.getOrNull(message.shard)?.claimAnnounced(message.claim, clock.instant()) }
-            is CellMessage.Reply -> gateway.answered(message.call, message.answer)
+            is CellMessage.Reply -> gateway.answered(message.call, message.answer, from)
             is CellMessage.Advise ->
                 ports.advice
                     .advise(message.step, message.upstreams, Duration.ofMillis(message.timeoutMillis))
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
@@ -41,16 +41,23 @@
     private val send: (shard: Int, call: Long, request: JobRequest) -> String?,
 ) : JobGateway {
     private class OpenCall(
+        val number: Long,
         val shard: Int,
         val request: JobRequest,
     ) {
         val answer = CompletableFuture<JobAnswer>()
 
+        /** Process whose answer has completed the call, or null. */
+        @Volatile
+        var answeredBy: String? = null
+            private set
+
         private var closed = false
 
         /** Copies of the request that were sent and not answered as having had no effect. */
         private var effectiveSends = 0
         private var refusal: JobAnswer.Refused? = null
+        private var refusedBy: String? = null
 
         @Volatile
         var sentTo: String? = null
@@ -79,12 +86,18 @@
          * A refusal is passed on only if no other copy has taken effect or may still do so.
          */
         @Synchronized
-        fun answered(received: JobAnswer) {
+        fun answered(
+            received: JobAnswer,
+            from: String,
+        ) {
             when (received) {
                 JobAnswer.NotOwner -> sentTo = null
-                is JobAnswer.Refused -> refusal = received
+                is JobAnswer.Refused -> {
+                    refusal = received
+                    refusedBy = from
+                }
                 else -> {
-                    answer.complete(received)
+                    complete(received, from)
                     return
                 }
             }
@@ -92,9 +105,21 @@
             val refused = refusal ?: return
             if (effectiveSends > 0) return
             closed = true
-            answer.complete(refused)
+            complete(refused, refusedBy)
+        }
+
+        private fun complete(
+            with: JobAnswer,
+            from: String?,
+        ) {
+            if (answer.isDone) return
+            answeredBy = from
+            answer.complete(with)
         }
 
+        /** Returns the shard, the process that answered, and the call number by which its log names this call. */
+        fun origin(): String = "of shard $shard from ${answeredBy ?: "no process"}, call $number"
+
         /** Closes the call and returns true, unless a copy of the request may take effect. */
         @Synchronized
         fun closeIfUnsent(): Boolean {
@@ -134,7 +159,7 @@
         // A malformed submission may exceed the frame size limit of messages to the owner.
         val problem = (request as? JobRequest.Submit)?.let(SubmissionCheck::problemOf)
         if (problem != null) return JobAnswer.Invalid(problem)
-        val job = jobOf(request) ?: return pending(request, wait)
+        val job = jobOf(request) ?: return pending(request as JobRequest.Pending, wait)
         if (request is JobRequest.Submit && wait < MIN_WAIT) {
             return JobAnswer.Refused("the caller leaves in $wait, before it could be told", 0).also { log(job, it) }
         }
@@ -167,26 +192,34 @@
 
     /** Adds up the counts of all shards; fails if one of them is missing. */
     private fun pending(
-        request: JobRequest,
+        request: JobRequest.Pending,
         wait: Duration,
     ): JobAnswer {
-        val answers = await((0 until shards).map { begin(it, request) }, wait)
+        val numbers = (0 until shards).map { begin(it, request) }
+        val calls = numbers.map(open::getValue)
+        val answers = await(numbers, wait)
         val counts = answers.filterIsInstance<JobAnswer.Count>()
-        return if (counts.size ==
-            shards
-        ) {
-            JobAnswer.Count(counts.sumOf { it.pending })
-        } else {
-            answers.first { it !in counts }
-        }
+        val total =
+            if (counts.size == shards) {
+                JobAnswer.Count(counts.sumOf { it.pending })
+            } else {
+                answers.first { it !in counts }
+            }
+        val parts = calls.zip(answers) { call, answer -> "${describe(answer)} ${call.origin()}" }
+        val detail = "${describe(total)}: ${parts.joinToString("; ")}"
+        decisions.write("pending-answered", request.queue, detail, clock.instant())
+        return total
     }
 
+    private fun describe(answer: JobAnswer): String =
+        if (answer is JobAnswer.Count) "count ${answer.pending}" else "$answer"
+
     private fun begin(
         shard: Int,
         request: JobRequest,
     ): Long {
         val number = lastCall.incrementAndGet()
-        val call = OpenCall(shard, request)
+        val call = OpenCall(number, shard, request)
         open[number] = call
         forward(number, call)
         return number
@@ -254,14 +287,15 @@
             JobAnswer.Unknown(e.toString())
         }
 
-    /** Handles the answer to call [number]. */
+    /** Handles the answer of the process [from] to call [number]. */
     fun answered(
         number: Long,
         answer: JobAnswer,
+        from: String,
     ) {
         val call = open[number] ?: return
         onOwnershipReport(call.shard, answer != JobAnswer.NotOwner)
-        call.answered(answer)
+        call.answered(answer, from)
     }
 
     /** Sends calls again whose owner changed, left or did not answer within [RESEND_INTERVAL]. */
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
@@ -10,6 +10,7 @@
 import org.anvilbarrow.protocol.model.Resources
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isA
@@ -33,6 +34,7 @@
     @Volatile
     private var cutOff = false
     private val ownershipReports = CopyOnWriteArrayList<Boolean>()
+    private val lines = CopyOnWriteArrayList<String>()
     private val gateway =
         OwnerGateway(
             2,
@@ -41,8 +43,7 @@
                 null
             },
             CallerAccess(AccessBounds.of(Duration.ofSeconds(5), Duration.ofSeconds(4))),
-            DecisionLog(1) {
-            },
+            DecisionLog(1) { lines += it },
             { cutOff },
             { _, owns ->
                 ownershipReports +=
@@ -66,7 +67,7 @@
     fun `an answer from the owner is returned to the caller`() {
         val answer = ask(status)
         awaitSent(1)
-        gateway.answered(sent.first(), JobAnswer.NotFound)
+        gateway.answered(sent.first(), JobAnswer.NotFound, "a")
         expectThat(answer.join()).isEqualTo(JobAnswer.NotFound)
     }
 
@@ -88,7 +89,7 @@
         owner = "b"
         gateway.resend { "b" }
         awaitSent(1)
-        gateway.answered(sent.single(), JobAnswer.Accepted)
+        gateway.answered(sent.single(), JobAnswer.Accepted, "a")
         expectThat(answer.join()).isEqualTo(JobAnswer.Accepted)
     }
 
@@ -124,7 +125,7 @@
         owner = "b"
         gateway.resend { "b" }
         awaitSent(2)
-        gateway.answered(sent.last(), JobAnswer.Accepted)
+        gateway.answered(sent.last(), JobAnswer.Accepted, "a")
         expectThat(answer.join()).isEqualTo(JobAnswer.Accepted)
     }
 
@@ -133,7 +134,7 @@
         val answer = ask(status)
         awaitSent(1)
         owner = null
-        gateway.answered(sent.first(), JobAnswer.NotOwner)
+        gateway.answered(sent.first(), JobAnswer.NotOwner, "a")
         expectThat(answer.join()).isA<JobAnswer.Refused>()
         // Otherwise further callers would be sent to that process and wait in vain.
         expectThat(ownershipReports).containsExactly(false)
@@ -147,9 +148,9 @@
         owner = "b"
         gateway.resend { "b" }
         awaitSent(2)
-        gateway.answered(sent.first(), JobAnswer.Refused("the store does not answer", 1_000))
+        gateway.answered(sent.first(), JobAnswer.Refused("the store does not answer", 1_000), "a")
         expectThat(answer.isDone).isFalse()
-        gateway.answered(sent.first(), JobAnswer.Accepted)
+        gateway.answered(sent.first(), JobAnswer.Accepted, "a")
         expectThat(answer.join()).isEqualTo(JobAnswer.Accepted)
     }
 
@@ -160,8 +161,8 @@
         awaitSent(1)
         gateway.resend { "b" }
         awaitSent(2)
-        gateway.answered(sent.first(), refused)
-        gateway.answered(sent.first(), JobAnswer.NotOwner)
+        gateway.answered(sent.first(), refused, "a")
+        gateway.answered(sent.first(), JobAnswer.NotOwner, "a")
         expectThat(answer.join()).isEqualTo(refused)
     }
 
@@ -187,7 +188,41 @@
     fun `pending jobs of all shards are added up`() {
         val answer = ask(JobRequest.Pending("q"))
         awaitSent(2)
-        sent.forEach { gateway.answered(it, JobAnswer.Count(3)) }
+        sent.forEach { gateway.answered(it, JobAnswer.Count(3), "a") }
         expectThat(answer.join()).isEqualTo(JobAnswer.Count(6))
     }
+
+    /** Guards against a count that looks the same as the answer to another call or of a displaced owner. */
+    @Test
+    fun `the line of a pending count names the process and the call of each shard`() {
+        val answer = ask(JobRequest.Pending("q"))
+        awaitSent(2)
+        gateway.answered(sent.first(), JobAnswer.NotOwner, "c")
+        gateway.answered(sent.first(), JobAnswer.Count(1), "b")
+        gateway.answered(sent.first(), JobAnswer.Count(9), "c")
+        gateway.answered(sent.last(), JobAnswer.Count(3), "a")
+        expectThat(answer.join()).isEqualTo(JobAnswer.Count(4))
+        val detail = "count 4: count 1 of shard 0 from b, call 1; count 3 of shard 1 from a, call 2"
+        expectThat(lines).containsExactly("event=pending-answered subject=q detail=\"$detail\"")
+    }
+
+    /** Guards against a failed request without a line, which the owner's line then seems to answer. */
+    @Test
+    fun `the line of a pending count that failed names the answer and who gave it`() {
+        val answer = ask(JobRequest.Pending("q"))
+        awaitSent(2)
+        gateway.answered(sent.first(), JobAnswer.Refused("early", 1_000), "b")
+        gateway.answered(sent.last(), JobAnswer.Count(3), "a")
+        val refused = "Refused(reason=early, retryAfterMillis=1000)"
+        expectThat(answer.join()).isA<JobAnswer.Refused>()
+        val detail = "$refused: $refused of shard 0 from b, call 1; count 3 of shard 1 from a, call 2"
+        expectThat(lines).containsExactly("event=pending-answered subject=q detail=\"$detail\"")
+    }
+
+    @Test
+    fun `the line of a pending count that nobody answered names no process`() {
+        owner = null
+        expectThat(gateway.ask(JobRequest.Pending("q"), Duration.ofMillis(100))).isA<JobAnswer.Refused>()
+        expectThat(lines.single()).contains("of shard 0 from no process, call 1")
+    }
 }
