Count jobs as pending until an upstream has confirmed a start

What callers saw: the number of pending jobs was below half of those that had waited for five seconds, and jobs that waited were shown as running.

Cause: the owner marked a step as begun when it decided on a start order, before the order was sent, stored that for a successor, and never took it back. Orders to upstreams that are cut off, lost or about to reject them hid their jobs from the count.

Change: a step is ordered once a start was decided, and started once an upstream has answered the order, or has listed a run or an end. Callers are told the second, crash tracking uses the first as before. Both are stored; the first keeps its name on the wire, so that builds before read it as they did, and their records count as ordered.

Why it works: what callers are told now rests on what upstreams have said, and a lost order has no such answer. The rejection of an order as old is no confirmation either.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CrashTracker.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CrashTracker.kt
@@ -25,7 +25,7 @@
         job: JobRun,
         loaded: LoadedJob,
     ) {
-        job.steps.values.forEach { it.crashes.mayHaveMissedCrashes = it.begun }
+        job.steps.values.forEach { it.crashes.mayHaveMissedCrashes = it.isOrdered }
         val record = loaded.crashes ?: return
         record.tasks.forEach { task ->
             val step = job.steps[task.task.step] ?: return@forEach
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobController.kt
@@ -160,7 +160,7 @@
         val finished = state.finished[id]?.takeIf { it.queue == request.queue && isVisibleTo(request, it.workspace) }
         return when {
             // A final phase is not reported before it is stored, as a successor would not know it.
-            job != null && job.stored -> JobAnswer.State(if (job.begun) JobPhase.RUNNING else JobPhase.QUEUED)
+            job != null && job.stored -> JobAnswer.State(if (job.isStarted) JobPhase.RUNNING else JobPhase.QUEUED)
             job == null && finished != null -> JobAnswer.State(finished.phase, finished.reason)
             else -> JobAnswer.NotFound
         }
@@ -187,7 +187,7 @@
         val age = count.oldestOrderAt?.let { Duration.between(it, state.now).toMillis() }
         val order = if (age == null) "no order under way" else "oldest order $age ms ago"
         return "count ${count.pending} of ${count.open} open jobs, " +
-            "${count.unconfirmed} not counted without a confirmed start, $order, " +
+            "${count.unconfirmed} of them ordered without a confirmed start, $order, " +
             "token ${state.token}, call ${call.origin}/${call.number}"
     }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -86,14 +86,12 @@
     /** Returns the critical path from [step] on, including it, in milliseconds. */
     fun remainingCriticalPath(step: Int): Long = criticalPathsFrom[step]
 
-    val begun: Boolean
-        get() = hasDoneOccurrence || steps.values.any { it.begun }
+    /** True once an upstream has confirmed the start of a task, to this owner or an earlier one. */
+    val isStarted: Boolean
+        get() = steps.size < openedOccurrences * spec.steps.size || steps.values.any { it.isStarted }
 
-    /** True if an upstream has confirmed the start of a task, as far as this owner knows. */
-    val isStartConfirmed: Boolean
-        get() = hasDoneOccurrence || steps.values.any { it.isStartConfirmed }
-
-    private val hasDoneOccurrence: Boolean get() = steps.size < openedOccurrences * spec.steps.size
+    /** True once a start order for a task was decided, by this owner or an earlier one. */
+    val isOrdered: Boolean get() = isStarted || steps.values.any { it.isOrdered }
 
     /** Due time of [occurrence], or the time of acceptance for a job without a schedule. */
     fun dueAt(occurrence: Int): Instant =
@@ -183,10 +181,12 @@
     /** Upstreams on which runs of the step failed. */
     val failedOn = HashSet<Upstream>()
     val crashes = StepCrashes()
-    var begun = false
 
-    /** True once an upstream has answered a start order, or listed a run or an end. Not stored. */
-    var isStartConfirmed = false
+    /** True once a start order for any task was decided, whether or not it reached an upstream. */
+    var isOrdered = false
+
+    /** True once an upstream has confirmed the start of any task: by its answer, or a listed run or end. */
+    var isStarted = false
     val advice = StepAdvice()
 
     /** When this owner first saw the step ready, first started a task of it, and saw it done. */
@@ -230,15 +230,24 @@
     fun countOn(upstream: Upstream): Int = active.values.count { it.upstream === upstream }
 
     fun progress() =
-        StepProgress(ref.occurrence, ref.step, done.toLongArray(), HashMap(failures), HashMap(checkpoints), begun)
+        StepProgress(
+            ref.occurrence,
+            ref.step,
+            done.toLongArray(),
+            HashMap(failures),
+            HashMap(checkpoints),
+            isOrdered,
+            isStarted,
+        )
 
     fun restore(progress: StepProgress) {
         done.or(BitSet.valueOf(progress.done))
         waiting.andNot(done)
         failures += progress.failures
         checkpoints += progress.checkpoints
-        begun = progress.begun
-        isStartConfirmed = !done.isEmpty || failures.isNotEmpty() || checkpoints.isNotEmpty()
+        isOrdered = progress.isOrdered
+        // Records of earlier builds show a start only by its results.
+        isStarted = progress.isStarted || !done.isEmpty || failures.isNotEmpty() || checkpoints.isNotEmpty()
     }
 
     override fun toString(): String = ref.toString()
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/PendingCount.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/PendingCount.kt
@@ -9,11 +9,11 @@
     var open = 0
         private set
 
-    /** Open jobs that callers are told are pending. */
+    /** Open jobs that no upstream has started, which callers are told are pending. */
     var pending = 0
         private set
 
-    /** Open jobs that are not counted as pending although this owner knows of no confirmed start. */
+    /** Pending jobs that have start orders, none of which an upstream has confirmed. */
     var unconfirmed = 0
         private set
 
@@ -27,12 +27,11 @@
 
     private fun add(job: JobRun) {
         open++
-        if (!job.begun) {
-            pending++
-        } else if (!job.isStartConfirmed) {
-            unconfirmed++
-            oldestOrderAt = listOfNotNull(oldestOrderAt, job.oldestOrderAt()).minOrNull()
-        }
+        if (job.isStarted) return
+        pending++
+        if (!job.isOrdered) return
+        unconfirmed++
+        oldestOrderAt = listOfNotNull(oldestOrderAt, job.oldestOrderAt()).minOrNull()
     }
 
     private fun JobRun.oldestOrderAt(): Instant? =
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -41,8 +41,8 @@
         if (step.placedAt == null) step.placedAt = state.now
         step.waiting.clear(index)
         step.active[index] = run
-        if (!step.begun) {
-            step.begun = true
+        if (!step.isOrdered) {
+            step.isOrdered = true
             state.journal.changed(step.job)
         }
         upstream.add(run)
@@ -150,6 +150,7 @@
         when (result) {
             StartResult.Started -> {
                 run.mayStartLate = false
+                run.step?.let(::recordStart)
                 confirmStarted(run)
             }
             StartResult.Displaced if isFromEarlierRelay(order, run.upstream) -> unanswered(run, "its relay has changed")
@@ -197,13 +198,20 @@
     /** A run that is being stopped stays unanswered until its stop order is, as only then the order is not repeated. */
     private fun confirmStarted(run: Run) {
         run.isStartAnswered = true
-        run.step?.isStartConfirmed = true
         crashes.trialAdvanced(run, CrashEvidence.PROVEN)
         if (run.status != Run.Status.STARTING) return
         run.answeredAt = state.now
         run.status = Run.Status.STARTED
     }
 
+    /** Callers are told that a job has started only from here on, as a start order may never reach its upstream. */
+    private fun recordStart(step: StepRun) {
+        if (step.isStarted) return
+        step.isOrdered = true
+        step.isStarted = true
+        state.journal.changed(step.job)
+    }
+
     /** Orders [run] to stop; its resources stay reserved until its end is confirmed. */
     fun stop(run: Run) {
         if (run.status == Run.Status.STOPPING) return
@@ -297,7 +305,7 @@
         row: RunningTask,
         sentAt: Instant,
     ) {
-        tasks.stepOf(row.task)?.isStartConfirmed = true
+        tasks.stepOf(row.task)?.let(::recordStart)
         val run = upstream.runs[row.task]
         when {
             run == null -> adopt(upstream, row)
@@ -362,7 +370,6 @@
         state.usage.add(run)
         state.decided("run-found", row.task, "run ${row.run} on $upstream, ${if (wanted) "adopted" else "stopped"}")
         if (wanted) {
-            step.begun = true
             step.waiting.clear(row.task.index)
             step.active[row.task.index] = run
             if (step.waiting.isEmpty) state.ready -= step
@@ -390,7 +397,7 @@
         if (run != null && step != null && row.end == RunEnd.DONE) learner.ended(step, run)
         if (run != null) release(run)
         if (step == null) return
-        step.isStartConfirmed = true
+        recordStart(step)
         if (isKept(row.checkpoint) && !step.done.get(row.task.index)) {
             step.checkpoints[row.task.index] = row.checkpoint
             state.journal.changed(step.job)
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/RecordCompatibilityTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/RecordCompatibilityTest.kt
@@ -2,7 +2,9 @@
 
 import kotlinx.serialization.Serializable
 import org.anvilbarrow.protocol.jobs.JobId
+import org.anvilbarrow.protocol.jobs.ProgressRecord
 import org.anvilbarrow.protocol.jobs.RecordCodec
+import org.anvilbarrow.protocol.jobs.StepProgress
 import org.anvilbarrow.protocol.jobs.StepRef
 import org.anvilbarrow.protocol.jobs.TaskCrashes
 import org.anvilbarrow.protocol.jobs.TaskRef
@@ -11,6 +13,8 @@
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.UpstreamId
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
@@ -78,4 +82,36 @@
         expectThat(RecordCodec.decode(EarlierTaskCrashes.serializer(), bytes))
             .isEqualTo(EarlierTaskCrashes(task, setOf(incarnation), incarnation))
     }
+
+    /** The progress of a job as of commit 857acee. */
+    @Serializable
+    private data class EarlierProgress(
+        val steps: List<EarlierStepProgress>,
+    )
+
+    @Serializable
+    private data class EarlierStepProgress(
+        val occurrence: Int,
+        val step: Int,
+        val begun: Boolean = false,
+    )
+
+    private val earlierProgress = EarlierProgress(listOf(EarlierStepProgress(0, 0, begun = true)))
+
+    /** Guards against a start that an earlier build only ordered and that counts as confirmed. */
+    @Test
+    fun `a step that an earlier build has begun is ordered and not started`() {
+        val bytes = RecordCodec.encode(EarlierProgress.serializer(), earlierProgress)
+        val read = RecordCodec.decode(ProgressRecord.serializer(), bytes)
+        expectThat(read?.steps?.single()?.isOrdered).isEqualTo(true)
+        expectThat(read?.steps?.single()?.isStarted).isEqualTo(false)
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = [false, true])
+    fun `the build before reads an ordered step as begun, whether it has started or not`(isStarted: Boolean) {
+        val record = ProgressRecord(listOf(StepProgress(0, 0, isOrdered = true, isStarted = isStarted)))
+        val bytes = RecordCodec.encode(ProgressRecord.serializer(), record)
+        expectThat(RecordCodec.decode(EarlierProgress.serializer(), bytes)).isEqualTo(earlierProgress)
+    }
 }
--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/JobRecords.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
 import org.anvilbarrow.protocol.codec.decodeOrNull
@@ -52,8 +53,10 @@
     val failures: Map<Int, Set<Long>> = emptyMap(),
     /** Newest checkpoint by task index. */
     val checkpoints: Map<Int, String> = emptyMap(),
-    /** True once any task of the step has been started. */
-    val begun: Boolean = false,
+    /** True once a start order for any task of the step was decided, whether or not it reached an upstream. */
+    @SerialName("begun") val isOrdered: Boolean = false,
+    /** True once an upstream has confirmed the start of any task of the step; not recorded by earlier builds. */
+    @SerialName("started") val isStarted: Boolean = false,
 ) {
     override fun equals(other: Any?): Boolean =
         other is StepProgress &&
@@ -62,7 +65,8 @@
             done.contentEquals(other.done) &&
             failures == other.failures &&
             checkpoints == other.checkpoints &&
-            begun == other.begun
+            isOrdered == other.isOrdered &&
+            isStarted == other.isStarted
 
     override fun hashCode(): Int = (occurrence * HASH_FACTOR + step) * HASH_FACTOR + done.contentHashCode()
 
