Never acquire a token again that this process has given up

What callers saw: 200 for jobs, and 410 for them as soon as another process led.

Cause: after a resignation without a successor, a renewal of the claim that was still under way was confirmed, and ShardClaim acquired the shard with the token that it had given up; so did a read of the log. The new JournalWriter numbered its appends from 1 under an epoch in which the store had more. It took every "out of sequence" with a higher expected number for a lost answer of its own, and the first numbers of a reused epoch may be answered like repeats of the appends of before.

Change: a process acquires only tokens above the highest that it has held. Its own claim then ages like any other, and after the owner timeout this process or another one claims the shard with a new token. A confirmation counts only for the held token, and an own claim that was given up is no live peer. An append that is out of sequence counts as stored only if the batch was sent more than once and the store expects exactly the next number; otherwise the owner resigns, with the log line append-out-of-sequence. A store with several attempts of one batch answers repeats like the first one, or with the next number once it no longer recognizes them; both still count as stored.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -109,7 +109,7 @@
             is CellEvent.HelpersChanged -> helpersChanged(event.helpers)
             CellEvent.Stored -> state.journal.stored()
             is CellEvent.RecordRefused -> jobs.recordRefused(event.key)
-            CellEvent.StoreFenced -> state.emit(CellEffect.Resign("a later owner has written to the store"))
+            CellEvent.StoreFenced -> state.emit(CellEffect.Resign("the store rejected a batch of this owner"))
         }
     }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellEvent.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellEvent.kt
@@ -59,7 +59,7 @@
         val key: String,
     ) : CellEvent
 
-    /** The store rejected the records of the last [CellEffect.Store] because a later owner wrote. */
+    /** The records of the last [CellEffect.Store] are not stored: a later owner wrote, or their sequence broke. */
     public data object StoreFenced : CellEvent
 }
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/ownership/ShardClaim.kt
@@ -45,11 +45,15 @@
     public var token: Long? = null
         private set
 
+    /** Highest fencing token that this process has held; a token that was given up is never acquired again. */
+    private var highestHeldToken = NO_TOKEN
+
     /** The newest claim, or null if it was released. */
     public val owner: ClaimRecord? get() = newest?.takeIf { !it.released }
 
     /** True if another process owns the shard and renewed its claim within the owner timeout. */
-    public fun isOwnedByLivePeer(now: Instant): Boolean = owner != null && token == null && liveness.isAlive(now)
+    public fun isOwnedByLivePeer(now: Instant): Boolean =
+        owner?.let { !isMine(it) } == true && token == null && liveness.isAlive(now)
 
     /** False from a failed read of the store until the next successful one. */
     public val isStoreReadable: Boolean get() = liveness.isStoreReadable
@@ -159,7 +163,7 @@
         end = maxOf(append.effect.at + 1, end ?: 0)
         applyClaim(append.effect.record, now)
         rejections = 0
-        effects += ClaimEffect.Confirmed(append.sentAt)
+        if (token == append.effect.record.token) effects += ClaimEffect.Confirmed(append.sentAt)
         nextAppendAt = append.sentAt.plus(limits.renewalInterval)
     }
 
@@ -307,8 +311,10 @@
         liveness.isLinkLost = liveness.isLinkLost && before?.token == record.token
         val mine = isMine(record)
         when {
-            mine && !record.released && token != record.token -> {
+            // The store and the upstreams may have seen later sequence numbers and relay epochs under a held token.
+            mine && !record.released && record.token > highestHeldToken -> {
                 token = record.token
+                highestHeldToken = record.token
                 nextAppendAt = now.plus(limits.renewalInterval)
                 effects += ClaimEffect.Acquired(record.token, earlierOwnersEnded(before, record))
             }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/ownership/ShardClaimTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/ownership/ShardClaimTest.kt
@@ -9,6 +9,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isTrue
@@ -39,6 +40,9 @@
 
             /** True if the store rejects appends of this process. */
             var isRejected = false
+
+            /** True if the store no longer has the records that this process reads. */
+            var recordsExpired = false
             val acquired = ArrayList<ClaimEffect.Acquired>()
 
             /** Address of the owner in the last [ClaimEffect.OwnerChanged]. */
@@ -76,6 +80,7 @@
                 effect: ClaimEffect.Read,
                 until: Instant,
             ) {
+                if (recordsExpired) return answer { claim.readFailed(outOfRange = true, now) }
                 val records = log.drop(effect.from.toInt())
                 if (records.isEmpty() && now.isBefore(until)) {
                     after(delay) { read(effect, until) }
@@ -348,6 +353,81 @@
         expectThat(world.owners().map { it.name }).containsExactly("small")
     }
 
+    /** Runs until the store has a renewal by [owner] whose confirmation is still under way. */
+    private fun ClaimWorld.runToPendingRenewal(owner: ClaimWorld.Member) {
+        val end = log.size
+        while (log.size == end) run(Duration.ofMillis(1))
+        expectThat(log.last().address).isEqualTo(owner.name)
+    }
+
+    private fun ClaimWorld.displace(owner: ClaimWorld.Member): Unit =
+        owner.perform(owner.claim.displaced("an upstream has a later token", now))
+
+    /** Expects that within the owner timeout and one renewal interval the shard has an owner with a new token. */
+    private fun ClaimWorld.expectNewToken(given: Long) {
+        run(ClaimLimits().ownerTimeout.plus(ClaimLimits().renewalInterval))
+        expectThat(owners()).single().get { claim.token!! }.isGreaterThan(given)
+        val acquired = members.values.flatMap { it.acquired }.map { it.token }
+        expectThat(acquired).isEqualTo(acquired.distinct())
+    }
+
+    /** Guards against an owner that resigns and appends again under the same epoch, which the store does not store. */
+    @Test
+    fun `a token that was given up is not acquired again when its renewal is confirmed`() {
+        listOf(listOf("a"), listOf("a", "b", "c")).forEach { names ->
+            val world = ClaimWorld()
+            names.forEach { world.add(it) }
+            world.run(second.multipliedBy(3))
+            val owner = world.owners().single()
+            val given = owner.claim.token!!
+            world.runToPendingRenewal(owner)
+            world.displace(owner)
+            world.run(Duration.ofMillis(100))
+            expectThat(owner.claim.token).isEqualTo(null)
+            world.expectNewToken(given)
+        }
+    }
+
+    /** Guards against the same when the answer to the renewal was lost and a read of the log shows it. */
+    @Test
+    fun `a token that was given up is not acquired again when its renewal is read`() {
+        val world = ClaimWorld()
+        val owner = world.add("a")
+        world.run(second.multipliedBy(3))
+        val given = owner.claim.token!!
+        owner.losesAppendAnswers = true
+        world.runToPendingRenewal(owner)
+        owner.losesAppendAnswers = false
+        world.displace(owner)
+        world.expectNewToken(given)
+    }
+
+    /** Guards against the same when the end of the log is not known and the newest claim is read. */
+    @Test
+    fun `a token that was given up is not acquired again when the newest claim is read`() {
+        val world = ClaimWorld()
+        val owner = world.add("a")
+        world.run(second.multipliedBy(3))
+        val given = owner.claim.token!!
+        owner.recordsExpired = true
+        world.displace(owner)
+        world.run(Duration.ofMillis(100))
+        owner.recordsExpired = false
+        world.run(Duration.ofMillis(300))
+        expectThat(owner.claim.token).isEqualTo(null)
+        world.expectNewToken(given)
+    }
+
+    /** Guards against a process that refuses callers as cut off while it waits to claim its shard again. */
+    @Test
+    fun `a claim that was given up is not taken for that of a live peer`() {
+        val world = ClaimWorld()
+        val owner = world.add("a")
+        world.run(second.multipliedBy(3))
+        world.displace(owner)
+        expectThat(owner.claim.isOwnedByLivePeer(world.now)).isFalse()
+    }
+
     private companion object {
         val START: Instant = Instant.ofEpochSecond(1_000)
     }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/JournalWriter.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/JournalWriter.kt
@@ -10,7 +10,7 @@
 private val log = KotlinLogging.logger("anvilbarrow.shard")
 
 /**
- * Appends the batches of one owner, one at a time, and retries each until it is stored or the owner is fenced.
+ * Appends the batches of one owner, one at a time, and retries each until it is stored or the owner has to resign.
  *
  * A batch keeps its sequence number when it is sent again, so that it is stored once even if an answer was lost. One
  * that the store refuses for good is divided, until the refused record is known and the others are stored.
@@ -39,7 +39,7 @@
     private var lastLatency: Duration = Duration.ZERO
 
     /**
-     * Calls [done] with true once [records] are stored, or with false once a later owner has written.
+     * Calls [done] with true once [records] are stored, or with false if the store rejected them.
      *
      * Records that the store refuses for good are left out; [onRefused] is called for each of them before.
      */
@@ -90,9 +90,7 @@
         when (outcome) {
             is AppendOutcome.Appended -> end(batch, stored = true)
             AppendOutcome.Fenced -> end(batch, stored = false)
-            // The store recognizes repeats of the last five batches only. If it expects a later sequence number, an
-            // attempt whose answer was lost has stored this batch.
-            is AppendOutcome.OutOfSequence -> end(batch, stored = (outcome.expected ?: 0) > batch.sequence)
+            is AppendOutcome.OutOfSequence -> outOfSequence(batch, outcome.expected)
             is AppendOutcome.Refused -> refused(batch, outcome)
             else -> {
                 failures++
@@ -102,6 +100,25 @@
         }
     }
 
+    /**
+     * Ends [batch] as stored only if another attempt of it explains the number that the store [expected].
+     *
+     * The store recognizes repeats of the last five batches only, and the answer to a stored attempt may be lost.
+     */
+    private fun outOfSequence(
+        batch: Batch,
+        expected: Long?,
+    ) {
+        val stored = batch.attempts > 1 && expected == batch.sequence + 1
+        if (!stored) {
+            log.error {
+                "event=append-out-of-sequence shard=$shard token=$token sequence=${batch.sequence} " +
+                    "expected=$expected attempts=${batch.attempts}"
+            }
+        }
+        end(batch, stored)
+    }
+
     private fun refused(
         batch: Batch,
         outcome: AppendOutcome.Refused,
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/JournalFencingTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/JournalFencingTest.kt
@@ -97,4 +97,14 @@
         expectThat(later.stores("c")).isEqualTo(true)
         expectThat(store.records.map { it.key }).isEqualTo(listOf("a", "c"))
     }
+
+    /** Guards against jobs that are acknowledged although they were appended under a token that was given up. */
+    @Test
+    fun `a batch under a token that was used before is not taken for stored`() {
+        val earlier = takeOver("10.0.0.1:7000", token = 4)
+        listOf("a", "b").forEach { expectThat(earlier.stores(it)).isEqualTo(true) }
+        val again = takeOver("10.0.0.1:7000", token = 4)
+        expectThat(again.stores("c")).isEqualTo(false)
+        expectThat(store.records.map { it.key }).isEqualTo(listOf("a", "b"))
+    }
 }
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/JournalWriterTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/JournalWriterTest.kt
@@ -72,6 +72,43 @@
         expectThat(results).containsExactly("a" to false)
     }
 
+    /** Guards against callers that are told of a stored job although the store has nothing of it. */
+    @Test
+    fun `a batch sent once is not stored if the store expects a later sequence number`() {
+        write("a")
+        store.appends
+            .single()
+            .reply
+            .complete(AppendOutcome.OutOfSequence(expected = 2))
+        expectThat(results).containsExactly("a" to false)
+    }
+
+    /** Guards against the same for a batch whose first answer was lost. */
+    @Test
+    fun `a repeated batch is not stored if the store expects a number after the next`() {
+        write("a")
+        store.run(Duration.ofMillis(500))
+        expectThat(store.appends).hasSize(2)
+        store.appends
+            .last()
+            .reply
+            .complete(AppendOutcome.OutOfSequence(expected = 3))
+        expectThat(results).containsExactly("a" to false)
+    }
+
+    /** Guards against an owner that resigns because its own attempt was stored and only the answer was lost. */
+    @Test
+    fun `a batch is stored if another attempt of it may have made the store expect the next number`() {
+        listOf(0, 1).forEach { answered ->
+            val sent = store.appends.size
+            write("$answered")
+            store.run(Duration.ofMillis(500))
+            expectThat(store.appends).hasSize(sent + 2)
+            store.appends[sent + answered].reply.complete(AppendOutcome.OutOfSequence(expected = answered + 2L))
+        }
+        expectThat(results).containsExactly("0" to true, "1" to true)
+    }
+
     /** Guards against a record that is refused for good and repeated for good, which stops all jobs. */
     @Test
     fun `a refused record is left out and the others are stored`() {
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/ShardControllerTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/ShardControllerTest.kt
@@ -30,13 +30,14 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotEmpty
 import strikt.assertions.isTrue
 import java.time.Duration
 import java.time.Instant
 import java.util.concurrent.CompletableFuture
 
-/** An owner that is paused for longer than it takes other processes to claim its shard. */
+/** An owner that is paused for longer than a takeover takes, or that an upstream takes for a displaced one. */
 internal class ShardControllerTest {
     private class DelayedTask(
         val at: Instant,
@@ -53,6 +54,16 @@
         val logs = HashMap<String, ArrayList<KeyedRecord>>()
         var isSlow = false
 
+        /** True if claims are appended but not answered until [answerClaims]. */
+        var holdsClaimAnswers = false
+        val heldClaimAnswers = ArrayList<() -> Unit>()
+
+        fun answerClaims() {
+            holdsClaimAnswers = false
+            heldClaimAnswers.forEach { it() }
+            heldClaimAnswers.clear()
+        }
+
         override fun append(
             topic: String,
             partition: Int,
@@ -60,29 +71,43 @@
             condition: AppendCondition,
         ): CompletableFuture<AppendOutcome> {
             if (isSlow) return CompletableFuture()
+            val outcome = append(topic, records, condition)
+            if (topic != CLAIM_TOPIC || !holdsClaimAnswers) return CompletableFuture.completedFuture(outcome)
+            val reply = CompletableFuture<AppendOutcome>()
+            heldClaimAnswers += { reply.complete(outcome) }
+            return reply
+        }
+
+        private fun append(
+            topic: String,
+            records: List<KeyedRecord>,
+            condition: AppendCondition,
+        ): AppendOutcome {
             val log = logs.getOrPut(topic, ::ArrayList)
             val end = log.size.toLong()
             if (condition is AppendCondition.EndsAt && condition.offset != end) {
-                return CompletableFuture.completedFuture(AppendOutcome.Conflict(end))
+                return AppendOutcome.Conflict(end)
             }
             log += records
-            return CompletableFuture.completedFuture(AppendOutcome.Appended(log.size.toLong()))
+            return AppendOutcome.Appended(log.size.toLong())
         }
 
-        /** The platform's reads wait for records; here a read that finds none is never answered. */
+        /** Waits for records like the platform's reads. */
         override fun read(
             topic: String,
             partition: Int,
             from: Long,
             wait: Duration,
         ): CompletableFuture<ReadOutcome> {
-            val records = logs[topic].orEmpty().drop(from.toInt())
-            val end = from + records.size
-            return if (records.isEmpty()) {
-                CompletableFuture()
-            } else {
-                CompletableFuture.completedFuture(ReadOutcome.Page(records, end, end))
+            val reply = CompletableFuture<ReadOutcome>()
+            val answer = {
+                val records = logs[topic].orEmpty().drop(from.toInt())
+                val end = from + records.size
+                reply.complete(ReadOutcome.Page(records, end, end))
+                Unit
             }
+            if (logs[topic].orEmpty().size > from) answer() else executor.run(wait, answer)
+            return reply
         }
 
         override fun newest(
@@ -124,9 +149,13 @@
     private val orders = ArrayList<UpstreamOrder>()
     private val controller = ShardController(0, context()) { }
 
+    /** True if the upstream answers that it has seen a later token. */
+    private var isDisplacing = false
+
     /** Records [order] and answers as an idle upstream, so that the owner keeps observing it. */
     private fun record(order: UpstreamOrder): CompletableFuture<UpstreamReport> {
         orders += order
+        if (isDisplacing) return CompletableFuture.completedFuture(UpstreamReport.Observed(Observation.Displaced))
         val seen = Observation.Seen(Duration.between(Instant.EPOCH, now).toMillis(), 1, emptyList(), emptyList())
         return CompletableFuture.completedFuture(UpstreamReport.Observed(seen))
     }
@@ -166,7 +195,7 @@
     }
 
     private fun claimFromOtherProcess() {
-        val log = store.logs.getValue("keyed.shards")
+        val log = store.logs.getValue(CLAIM_TOPIC)
         val claim = ClaimRecord("10.0.0.2:7000", 1, log.size + 1L)
         log += KeyedRecord("owner", RecordCodec.encode(ClaimRecord.serializer(), claim))
     }
@@ -201,7 +230,32 @@
         expectThat(orders).isNotEmpty()
     }
 
+    /** Guards against an owner that appends under a token that it gave up; the store has none of these batches. */
+    @Test
+    fun `an owner that an upstream displaced during a renewal owns the shard again only under a new token`() {
+        acquireShard()
+        val given = newestClaim().token
+        store.holdsClaimAnswers = true
+        repeat(20) { if (store.heldClaimAnswers.isEmpty()) advance(TICK_INTERVAL) }
+        isDisplacing = true
+        repeat(20) { if (controller.isOwner) advance(TICK_INTERVAL) }
+        isDisplacing = false
+        expectThat(store.heldClaimAnswers).isNotEmpty()
+        store.answerClaims()
+        advance(TICK_INTERVAL)
+        expectThat(controller.isOwner).isFalse()
+        repeat(40) { advance(TICK_INTERVAL) }
+        expectThat(controller.isOwner).isTrue()
+        expectThat(newestClaim().token).isGreaterThan(given)
+    }
+
+    private fun newestClaim(): ClaimRecord {
+        val record = store.logs.getValue(CLAIM_TOPIC).last()
+        return checkNotNull(RecordCodec.decode(ClaimRecord.serializer(), checkNotNull(record.value)))
+    }
+
     private companion object {
+        const val CLAIM_TOPIC = "keyed.shards"
         val TICK_INTERVAL: Duration = Duration.ofMillis(50)
     }
 }
