Keep the relay epoch of an upstream that is gone

Cause: the relay epoch was forgotten with the object of an upstream that was neither listed nor reachable. When it came back as the same process, its tokens began at the first epoch again, below those that it had seen from this very owner. It answered "fence", and the owner resigned although nobody had claimed the shard.

Change: GoneRelayEpochs keeps the last epoch by upstream, and one that is listed again continues from it, so that tokens for an upstream never fall under one claim. Messages and records are unchanged.

Evidence: RelaysTest, an upstream that was gone and returns as the same process, failed before (the owner resigned) and passes now.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Relays.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Relays.kt
@@ -16,7 +16,7 @@
  * a process that makes few calls spends most of its processor time on loading and compiling the code for them.
  *
  * Each change of relay raises the fencing token for the upstream. No two processes share a token, and late calls of an
- * earlier relay have no effect.
+ * earlier relay have no effect. The tokens do not fall when an upstream was gone: it may return as the same process.
  */
 internal class Relays(
     private val state: CellState,
@@ -24,6 +24,7 @@
     private val limits get() = state.limits
     private var members: Map<String, CellMember> = emptyMap()
     private val loads = HashMap<String, Int>()
+    private val goneEpochs = GoneRelayEpochs()
     private var nextReviewAt: Instant = Instant.MIN
 
     fun setMembers(helpers: List<CellMember>) {
@@ -50,9 +51,15 @@
         state.emit(CellEffect.Order(via, order))
     }
 
+    /** Continues the relay epochs of an upstream that was gone and is listed again. */
+    fun discovered(upstream: Upstream) {
+        upstream.relayEpoch = goneEpochs.take(upstream.id)
+    }
+
     /** Removes the assignment of an upstream that is gone. */
     fun forget(upstream: Upstream) {
         if (upstream.relay != null) detach(upstream)
+        goneEpochs.keep(upstream.id, upstream.relayEpoch)
     }
 
     /** Moves upstreams without open calls to relays that are closer or less loaded. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -54,6 +54,7 @@
     /** Records in the store that the upstream is used. Runs start there only after that. */
     private fun discovered(entry: UpstreamEntry): Upstream {
         val upstream = Upstream(entry.id, entry.address)
+        relays.discovered(upstream)
         recordCapacity(upstream, entry)
         state.journal.afterStored {
             upstream.isRecorded = true
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/RelaysTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/RelaysTest.kt
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.contains
 import strikt.assertions.doesNotContain
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
@@ -128,6 +129,26 @@
         expectThat(world.violations).isEmpty()
     }
 
+    /** Guards against an owner that resigns because an upstream has seen a higher token from this very owner. */
+    @Test
+    fun `an upstream that was gone and returns as the same process gets no lower token`() {
+        val world = JobWorld(workers = 1)
+        world.run(second)
+        world.connect(JobWorld.MEMBERS.removeAll { it.address == world.calls.first().via })
+        world.run(second)
+        val worker = world.workers.values.single()
+        worker.listed = false
+        world.unreachable += worker.id
+        world.run(second.multipliedBy(5))
+        expectThat(world.decisions.map { it.kind }).contains("upstream-gone")
+        worker.listed = true
+        world.unreachable -= worker.id
+        world.run(second.multipliedBy(5))
+        expectThat(world.violations).isEmpty()
+        val tokens = world.calls.map { it.order.token }
+        expectThat(tokens).isEqualTo(tokens.sorted())
+    }
+
     /** Guards against a new owner that calls every upstream itself while other processes are still connecting. */
     @Test
     fun `a new owner waits for processes in the region of the upstreams before it calls them itself`() {
