Start the numbers of calls between processes at a random value

Cause: requests of callers, orders to upstreams and calls for advice were numbered from 1 in each process, and an answer names only the address and the number. An answer to an earlier incarnation of a process completed the call of the present one that had the same number. At the owner, CallKey also took requests of two incarnations for one.

Change: CorrelationNumbers starts at a random value of 62 bits, and one instance for each process numbers all three kinds of calls. Ranges of 2^32 numbers of two incarnations overlap with a probability of 2^-29. The start comes from SecureRandom and not from the clock, which may be set back. Messages are unchanged, so both builds of an upgrade understand each other.

--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
@@ -20,7 +20,6 @@
 import org.anvilbarrow.adapters.settings.ListenAddress
 import org.anvilbarrow.kernel.jobs.CallKey
 import org.anvilbarrow.kernel.jobs.CellConfig
-import org.anvilbarrow.kernel.jobs.CellEffect
 import org.anvilbarrow.kernel.jobs.CellEvent
 import org.anvilbarrow.kernel.ownership.ClaimLimits
 import org.anvilbarrow.kernel.workspaces.CallerAccess
@@ -29,7 +28,6 @@
 import org.anvilbarrow.protocol.jobs.ClaimRecord
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobRequest
-import org.anvilbarrow.protocol.jobs.Ticket
 import org.http4k.core.HttpHandler
 import java.net.InetSocketAddress
 import java.time.Duration
@@ -37,8 +35,8 @@
 import java.time.InstantSource
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicLongArray
+import java.util.random.RandomGenerator
 
 private val log = KotlinLogging.logger("anvilbarrow.process")
 
@@ -58,7 +56,7 @@
  * One process of a cell: serves callers, and owns each shard while it holds the claim to it.
  *
  * ```
- * val process = CellProcess(settings, ports, clock).apply { start() }
+ * val process = CellProcess(settings, ports, clock, SecureRandom()).apply { start() }
  * process.stop() // hands over shards and completes in-flight requests
  * ```
  */
@@ -66,6 +64,7 @@
     private val settings: CellSettings,
     private val ports: PlatformPorts,
     private val clock: InstantSource,
+    random: RandomGenerator,
 ) : MeshListener {
     private val self =
         settings.run { CellMember("${peers.host}:${peers.port}", region, failureDomain, cores) }
@@ -75,7 +74,9 @@
     private val pauseDetector = { PauseDetector(clock, InstantSource.system()) }
     private val mesh = CellMesh(self, incarnation, MeshLimits(), this, pauseDetector)
     private val members = ConcurrentHashMap<String, CellMember>()
-    private val dispatch = OrderDispatch(address, ports.upstreams, clock, ::post, mesh::send)
+    private val numbers = CorrelationNumbers(random)
+    private val dispatch = OrderDispatch(address, ports.upstreams, clock, numbers, ::post, mesh::send)
+    private val adviceDispatch = AdviceDispatch(address, ports.advice, numbers, control, mesh::send)
     private val relay = OrderRelay(ports.upstreams, ::post, mesh::send)
     private val reachability = Reachability(settings.shards)
     private val decisions = DecisionLog(settings.logLinesPerSecond)
@@ -86,6 +87,7 @@
         OwnerGateway(
             settings.shards,
             clock,
+            numbers,
             { configuration.current },
             CallerAccess(settings.accessBounds),
             decisions,
@@ -93,8 +95,6 @@
             ::ownershipReported,
             ::forward,
         )
-    private val openAdvice = HashMap<Long, (List<Ticket>?) -> Unit>()
-    private val lastAdvice = AtomicLong()
 
     private val owners = Array<ClaimRecord?>(settings.shards) { null }
     private val processView =
@@ -127,7 +127,7 @@
             ports.store,
             dispatch,
             ports.catalog,
-            ::advise,
+            adviceDispatch,
             decisions,
             settings.limits,
             ClaimLimits(),
@@ -258,27 +258,6 @@
         return owner.takeIf { mesh.send(it, CellMessage.Request(call, shard, request)) }
     }
 
-    private fun advise(
-        shard: Int,
-        call: CellEffect.Advise,
-        done: (List<Ticket>?) -> Unit,
-    ) {
-        if (call.helper == address) {
-            ports.advice.advise(call.step, call.upstreams, call.timeout).thenAccept(done)
-            return
-        }
-        val number = lastAdvice.incrementAndGet()
-        openAdvice[number] = done
-        val message = CellMessage.Advise(number, call.step, call.upstreams, call.timeout.toMillis())
-        if (!mesh.send(call.helper, message)) {
-            openAdvice -= number
-            log.debug { "event=helper-unreachable shard=$shard helper=${call.helper}" }
-            done(null)
-        } else {
-            control.run(call.timeout) { openAdvice -= number }
-        }
-    }
-
     override fun received(
         from: String,
         message: CellMessage,
@@ -300,7 +279,7 @@
                 ports.advice
                     .advise(message.step, message.upstreams, Duration.ofMillis(message.timeoutMillis))
                     .thenAccept { mesh.send(from, CellMessage.Advised(message.call, it)) }
-            is CellMessage.Advised -> control.post { openAdvice.remove(message.call)?.invoke(message.tickets) }
+            is CellMessage.Advised -> control.post { adviceDispatch.advised(message) }
             is CellMessage.Orders -> relay.received(from, message)
             is CellMessage.Reports -> control.post { dispatch.reported(from, message) }
         }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OrderDispatch.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OrderDispatch.kt
@@ -22,6 +22,7 @@
     private val self: String,
     private val upstreams: UpstreamCalls,
     private val clock: InstantSource,
+    private val numbers: CorrelationNumbers,
     private val post: (() -> Unit) -> Unit,
     /** Sends a message to a peer; returns false if the peer is not connected. */
     private val send: (to: String, orders: CellMessage.Orders) -> Boolean,
@@ -35,7 +36,6 @@
 
     private val open = LinkedHashMap<Long, OpenOrder>()
     private val unsent = LinkedHashMap<String, ArrayList<NumberedOrder>>()
-    private var lastNumber = 0L
 
     /** Sends [order] through the process [via]; calls [done] once, on the control thread. */
     fun send(
@@ -47,9 +47,9 @@
             upstreams.send(order).thenAccept { report -> post { done(report) } }
             return
         }
-        lastNumber++
-        open[lastNumber] = OpenOrder(via, order, clock.instant().plus(timeoutOf(order)), done)
-        unsent.getOrPut(via, ::ArrayList) += NumberedOrder(lastNumber, order)
+        val number = numbers.next()
+        open[number] = OpenOrder(via, order, clock.instant().plus(timeoutOf(order)), done)
+        unsent.getOrPut(via, ::ArrayList) += NumberedOrder(number, order)
     }
 
     /** A connected peer reports at the latest when its own call times out. */
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OwnerGateway.kt
@@ -19,7 +19,6 @@
 import java.util.concurrent.ExecutionException
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
-import java.util.concurrent.atomic.AtomicLong
 
 /**
  * Forwards caller requests to the owners of their shards.
@@ -30,6 +29,7 @@
 internal class OwnerGateway(
     private val shards: Int,
     private val clock: InstantSource,
+    private val numbers: CorrelationNumbers,
     private val currentConfig: () -> ConfirmedConfig?,
     private val access: CallerAccess,
     private val decisions: DecisionLog,
@@ -105,7 +105,6 @@
     }
 
     private val open = ConcurrentHashMap<Long, OpenCall>()
-    private val lastCall = AtomicLong()
 
     override fun config(): CellConfig? = currentConfig()?.config
 
@@ -185,7 +184,7 @@
         shard: Int,
         request: JobRequest,
     ): Long {
-        val number = lastCall.incrementAndGet()
+        val number = numbers.next()
         val call = OpenCall(shard, request)
         open[number] = call
         forward(number, call)
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/Rehearsal.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/Rehearsal.kt
@@ -11,6 +11,7 @@
 import org.anvilbarrow.scheduler.process.MonotonicClock
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.security.SecureRandom
 import java.time.Duration
 
 /**
@@ -22,6 +23,7 @@
     private val ports: (CellSettings) -> PlatformPorts,
 ) : AutoCloseable {
     private val clock = MonotonicClock()
+    private val random = SecureRandom()
     private val platform = PlatformStandIn(clock)
     private val http = AsyncHttpClient("rehearsal")
     private val processes = ArrayList<CellProcess>()
@@ -33,7 +35,7 @@
     ): Int {
         val address = platform.start()
         val settings = (1..PROCESSES).map { settings("vm-$it", address) }
-        settings.mapTo(processes) { CellProcess(it, ports(it), clock).apply { start() } }
+        settings.mapTo(processes) { CellProcess(it, ports(it), clock, random).apply { start() } }
         val deadline = clock.instant().plus(timeout)
         val ids = (1..jobs).map { "%016x".format(it) }
         val callers = settings.map { CallerStandIn(http, it.callers.port) }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/ServeCommand.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cli/ServeCommand.kt
@@ -10,6 +10,7 @@
 import org.anvilbarrow.scheduler.cell.platformPorts
 import org.anvilbarrow.scheduler.process.MonotonicClock
 import sun.misc.Signal
+import java.security.SecureRandom
 
 /** `anvilbarrow serve`. */
 internal class ServeCommand : CliktCommand(name = "serve") {
@@ -23,7 +24,8 @@
     override fun run() {
         val settings = readSettings(file) { name, text -> CellSettingsReader(name, text).read() }
         Thread.setDefaultUncaughtExceptionHandler(ThreadFailureHandler())
-        val process = CellProcess(settings, platformPorts(settings), MonotonicClock())
+        // The default generator is seeded from the clock.
+        val process = CellProcess(settings, platformPorts(settings), MonotonicClock(), SecureRandom())
         // The default action of SIGHUP is to terminate the process.
         Signal.handle(Signal("HUP")) { process.reload() }
         runUntilTerminated(start = { process.start() }, stop = process::stop)
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OrderDispatchTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OrderDispatchTest.kt
@@ -10,7 +10,10 @@
 import org.anvilbarrow.protocol.jobs.UpstreamReport
 import org.anvilbarrow.protocol.model.UpstreamId
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import strikt.api.expectThat
+import strikt.assertions.all
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isA
@@ -20,6 +23,7 @@
 import strikt.assertions.isTrue
 import java.time.Duration
 import java.time.Instant
+import java.util.SplittableRandom
 import java.util.concurrent.CompletableFuture
 
 /** Each order of an owner is completed exactly once, even if the peer that carries it out fails. */
@@ -28,8 +32,17 @@
     private var connected = true
     private val sent = ArrayList<Pair<String, CellMessage.Orders>>()
     private val reports = ArrayList<UpstreamReport>()
-    private val dispatch =
-        OrderDispatch("self", { CompletableFuture.completedFuture(STARTED) }, { now }, { it() }) { to, orders ->
+    private val random = SplittableRandom(1)
+    private val dispatch = incarnation()
+
+    private fun incarnation() =
+        OrderDispatch(
+            "self",
+            { CompletableFuture.completedFuture(STARTED) },
+            { now },
+            CorrelationNumbers(random),
+            { it() },
+        ) { to, orders ->
             sent += to to orders
             connected
         }
@@ -110,6 +123,34 @@
         expectThat(reports).containsExactly(STARTED)
     }
 
+    /** Guards against a report on one upstream that is taken for the report on another after a restart of the owner. */
+    @ParameterizedTest
+    @CsvSource("1, 1", "1, 40", "40, 1", "40, 40")
+    fun `reports on the orders of an earlier incarnation complete no order of the present one`(
+        earlierOrders: Int,
+        presentOrders: Int,
+    ) {
+        val earlier = send(dispatch, earlierOrders) { }
+        val restarted = incarnation()
+        val present = send(restarted, presentOrders) { reports += it }
+        restarted.reported("peer", CellMessage.Reports(earlier.map { NumberedReport(it, LATE) }))
+        expectThat(reports).isEmpty()
+        restarted.reported("peer", CellMessage.Reports(present.map { NumberedReport(it, STARTED) }))
+        expectThat(reports).hasSize(presentOrders).all { isEqualTo(STARTED) }
+    }
+
+    /** Sends [count] orders from [from] to a peer and returns their numbers. */
+    private fun send(
+        from: OrderDispatch,
+        count: Int,
+        done: (UpstreamReport) -> Unit,
+    ): List<Long> {
+        sent.clear()
+        repeat(count) { index -> from.send("peer", start(index), done) }
+        from.flush()
+        return sent.flatMap { it.second.orders }.map { it.number }
+    }
+
     @Test
     fun `the reports on relayed orders are split into messages that fit a frame`() {
         val messages = ArrayList<CellMessage.Reports>()
@@ -125,5 +166,6 @@
 
     private companion object {
         val STARTED = UpstreamReport.Started(StartResult.Started)
+        val LATE = UpstreamReport.Observed(Observation.Seen(1, 1, emptyList(), emptyList()))
     }
 }
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OwnerGatewayTest.kt
@@ -4,11 +4,14 @@
 import org.anvilbarrow.kernel.workspaces.CallerAccess
 import org.anvilbarrow.protocol.jobs.JobAnswer
 import org.anvilbarrow.protocol.jobs.JobId
+import org.anvilbarrow.protocol.jobs.JobPhase
 import org.anvilbarrow.protocol.jobs.JobRequest
 import org.anvilbarrow.protocol.jobs.JobSpec
 import org.anvilbarrow.protocol.jobs.StepSpec
 import org.anvilbarrow.protocol.model.Resources
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
@@ -20,6 +23,7 @@
 import strikt.assertions.isTrue
 import java.time.Duration
 import java.time.InstantSource
+import java.util.SplittableRandom
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CopyOnWriteArrayList
 
@@ -33,10 +37,14 @@
     @Volatile
     private var cutOff = false
     private val ownershipReports = CopyOnWriteArrayList<Boolean>()
-    private val gateway =
+    private val random = SplittableRandom(1)
+    private val gateway = incarnation()
+
+    private fun incarnation() =
         OwnerGateway(
             2,
             InstantSource.system(),
+            CorrelationNumbers(random),
             {
                 null
             },
@@ -51,10 +59,14 @@
         ) { _, call, _ ->
             owner?.also { sent += call }
         }
+
     private val status = JobRequest.Status(JobId("5c0e7a21d94b36f8"), "q")
     private val wait = Duration.ofMillis(1_500)
 
-    private fun ask(request: JobRequest) = CompletableFuture.supplyAsync { gateway.ask(request, wait) }
+    private fun ask(
+        request: JobRequest,
+        asked: OwnerGateway = gateway,
+    ) = CompletableFuture.supplyAsync { asked.ask(request, wait) }
 
     private fun awaitSent(count: Int) {
         val deadline = System.nanoTime() + Duration.ofSeconds(5).toNanos()
@@ -165,6 +177,31 @@
         expectThat(answer.join()).isEqualTo(refused)
     }
 
+    /** Guards against a caller that gets the answer to another caller's request after a restart of its process. */
+    @ParameterizedTest
+    @MethodSource("lateAnswers")
+    fun `an answer to an earlier incarnation does not reach another caller`(late: JobAnswer) {
+        ask(status)
+        awaitSent(1)
+        val restarted = incarnation()
+        val answer = ask(status, restarted)
+        awaitSent(2)
+        restarted.answered(sent.first(), late)
+        expectThat(answer.isDone).isFalse()
+        expectThat(ownershipReports).isEmpty()
+        restarted.answered(sent.last(), JobAnswer.NotFound)
+        expectThat(answer.join()).isEqualTo(JobAnswer.NotFound)
+    }
+
+    /** Guards against an owner that takes a waiting request for one of an earlier incarnation and answers only one. */
+    @Test
+    fun `the requests of two incarnations have different numbers`() {
+        ask(JobRequest.Pending("q"))
+        ask(JobRequest.Pending("q"), incarnation())
+        awaitSent(4)
+        expectThat(sent.toSet()).hasSize(4)
+    }
+
     /** Guards against an oversized message, which would close the connection to the owner for all callers. */
     @Test
     fun `a submission that exceeds the limits is rejected before it is sent`() {
@@ -190,4 +227,18 @@
         sent.forEach { gateway.answered(it, JobAnswer.Count(3)) }
         expectThat(answer.join()).isEqualTo(JobAnswer.Count(6))
     }
+
+    private companion object {
+        @JvmStatic
+        fun lateAnswers(): List<JobAnswer> =
+            listOf(
+                JobAnswer.Accepted,
+                JobAnswer.State(JobPhase.COMPLETED),
+                JobAnswer.Cancelled,
+                JobAnswer.Count(3),
+                JobAnswer.Refused("the store does not answer", 1_000),
+                JobAnswer.NotOwner,
+                JobAnswer.Unknown("the store does not answer"),
+            )
+    }
 }
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/ShardControllerTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/ShardControllerTest.kt
@@ -34,6 +34,7 @@
 import strikt.assertions.isTrue
 import java.time.Duration
 import java.time.Instant
+import java.util.SplittableRandom
 import java.util.concurrent.CompletableFuture
 
 /** An owner that is paused for longer than it takes other processes to claim its shard. */
@@ -140,7 +141,13 @@
             { PauseDetector({ now }, { now }) },
             executor,
             store,
-            OrderDispatch(self.address, ::record, { now }, { it() }) { _, _ -> false },
+            OrderDispatch(
+                self.address,
+                ::record,
+                { now },
+                CorrelationNumbers(SplittableRandom(1)),
+                { it() },
+            ) { _, _ -> false },
             SingleUpstreamCatalog,
             { _, _, _ -> },
             DecisionLog(1),
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/TestContext.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/TestContext.kt
@@ -23,6 +23,7 @@
 import java.time.Instant
 import java.time.InstantSource
 import java.util.PriorityQueue
+import java.util.SplittableRandom
 import java.util.concurrent.CompletableFuture
 
 /** Context of a process that has a store and a clock, but no upstreams and no peers. */
@@ -39,7 +40,14 @@
     { PauseDetector(clock, clock) },
     executor,
     store,
-    OrderDispatch(address, { error("unexpected order") }, clock, { it() }, { _, _ -> false }),
+    OrderDispatch(
+        address,
+        { error("unexpected order") },
+        clock,
+        CorrelationNumbers(SplittableRandom(1)),
+        { it() },
+        { _, _ -> false },
+    ),
     NoCatalog,
     { _, _, _ -> },
     DecisionLog(1),
