--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/ShardControllerTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/ShardControllerTest.kt
@@ -35,6 +35,7 @@
 import strikt.assertions.isTrue
 import java.time.Duration
 import java.time.Instant
+import java.util.SplittableRandom
 import java.util.concurrent.CompletableFuture
 
 /** An owner that is paused for longer than a takeover takes, or that an upstream takes for a displaced one. */
@@ -169,7 +170,13 @@
             { PauseDetector({ now }, { now }) },
             executor,
             store,
-            OrderDispatch(self.address, ::record, { now }, { it() }) { _, _ -> false },
+            OrderDispatch(
+                self.address,
+                ::record,
+                { now },
+                CorrelationNumbers(SplittableRandom(1)),
+                { it() },
+            ) { _, _ -> false },
             SingleUpstreamCatalog,
             { _, _, _ -> },
             DecisionLog(1),
