Store a confirmed start only once for each job, and guard its sources

Change: only the first confirmed start of a job is stored at once; that of later steps goes with their next change. PendingCountTest cuts upstreams off 4 s after the restart instead of 3 s, as they get orders again by then, and checks that orders were sent.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Cell.kt
@@ -65,7 +65,7 @@
     /** Jobs that callers are told are pending, as of the last second. */
     public val pendingJobs: Int get() = pending.jobs.pending
 
-    /** Open jobs that have start orders, none of which an upstream has confirmed, as of the last second. */
+    /** Pending jobs that were ordered to start without a confirmation by any upstream, as of the last second. */
     public val unconfirmedJobs: Int get() = pending.jobs.unconfirmed
 
     /** Runs that were ordered and that no upstream has confirmed, as of the last second. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -88,7 +88,9 @@
 
     /** True once an upstream has confirmed the start of a task, to this owner or an earlier one. */
     val isStarted: Boolean
-        get() = steps.size < openedOccurrences * spec.steps.size || steps.values.any { it.isStarted }
+        get() = hasDoneOccurrence || steps.values.any { it.isStarted }
+
+    private val hasDoneOccurrence: Boolean get() = steps.size < openedOccurrences * spec.steps.size
 
     /** True once a start order for a task was decided, by this owner or an earlier one. */
     val isOrdered: Boolean get() = isStarted || steps.values.any { it.isOrdered }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/PendingCount.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/PendingCount.kt
@@ -13,7 +13,7 @@
     var pending = 0
         private set
 
-    /** Pending jobs that have start orders, none of which an upstream has confirmed. */
+    /** Pending jobs that were ordered to start, without a confirmation by any upstream. */
     var unconfirmed = 0
         private set
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -207,9 +207,11 @@
     /** Callers are told that a job has started only from here on, as a start order may never reach its upstream. */
     private fun recordStart(step: StepRun) {
         if (step.isStarted) return
+        // Callers see the job as a whole, so only its first start has to be stored at once.
+        if (!step.job.isStarted) state.journal.changed(step.job)
+        // An earlier owner may not have stored the order.
         step.isOrdered = true
         step.isStarted = true
-        state.journal.changed(step.job)
     }
 
     /** Orders [run] to stop; its resources stay reserved until its end is confirmed. */
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/PendingCountTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/PendingCountTest.kt
@@ -2,6 +2,7 @@
 
 import org.anvilbarrow.protocol.jobs.JobId
 import org.anvilbarrow.protocol.jobs.JobPhase
+import org.anvilbarrow.protocol.jobs.UpstreamOrder
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
@@ -23,6 +24,7 @@
     @EnumSource
     fun `jobs whose start orders started nothing are pending`(fault: Fault) {
         val world = faulty(fault)
+        expectThat(world.calls.count { it.order is UpstreamOrder.Start }).isGreaterThanOrEqualTo(JOBS)
         repeat(50) {
             world.run(Duration.ofMillis(100))
             expectThat(world.pending()).isEqualTo(JOBS)
@@ -112,7 +114,7 @@
             Fault.CUT_OFF -> world.unreachable += world.workers.keys
             Fault.CUT_OFF_AFTER_RESTART -> {
                 world.workers.values.forEach { world.losePower(it, RESTART_TIME) }
-                world.run(second.multipliedBy(3))
+                world.run(second.multipliedBy(4))
                 world.unreachable += world.workers.keys
             }
             Fault.LOST_FOR_GOOD -> world.workers.values.forEach { it.crash(Duration.ofMinutes(10)) }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellMetrics.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellMetrics.kt
@@ -21,7 +21,7 @@
             gauge("anvilbarrow_open_jobs", "Jobs of the owned shards that are not finished.") { sum { it.openJobs } }
             gauge("anvilbarrow_open_runs", "Runs whose end is not known.") { sum { it.openRuns } }
             gauge("anvilbarrow_pending_jobs", "Jobs that callers are told are pending.") { sum { it.pendingJobs } }
-            gauge("anvilbarrow_unconfirmed_jobs", "Open jobs whose only start orders are not confirmed.") {
+            gauge("anvilbarrow_unconfirmed_jobs", "Pending jobs that were ordered to start without a confirmation.") {
                 sum { it.unconfirmedJobs }
             }
             gauge("anvilbarrow_unconfirmed_starts", "Runs that were ordered and are not confirmed.") {
