Count a job as pending until its end is stored

While the store does not answer, jobs whose cancellation was asked for left the count at once, though the callers had no answer and the jobs' state was still queued.

Why it works: a stored end removes the job from the open ones, which is also what a successor loads.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/PendingCount.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/PendingCount.kt
@@ -2,7 +2,7 @@
 
 import java.time.Instant
 
-/** Number of stored, unfinished jobs among [jobs], by what is known of their starts. */
+/** Number of stored jobs among [jobs] whose end is not stored, by what is known of their starts. */
 internal class PendingCount(
     jobs: Sequence<JobRun>,
 ) {
@@ -22,7 +22,8 @@
         private set
 
     init {
-        jobs.filter { it.stored && !it.phase.isFinal }.forEach(::add)
+        // An end counts once it is stored, as a successor would not know it; the job then leaves the open ones.
+        jobs.filter { it.stored }.forEach(::add)
     }
 
     private fun add(job: JobRun) {
