--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -24,6 +24,8 @@
      * is away for longer than this.
      */
     val acknowledgeWithin: Duration = Duration.ofSeconds(1),
+    /** How long after it was sent an order without an answer may still take effect. */
+    val maxOrderDelay: Duration = Duration.ofSeconds(12),
     /** Consecutive failed observe requests after which leases are no longer renewed. */
     val failuresBeforeNoRenewal: Int = 2,
     /** Factor by which the monotonic clock of an upstream may run slow. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Leases.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Leases.kt
@@ -28,10 +28,17 @@
     /** True if the leases that this owner granted on [upstream] have expired. */
     fun haveExpired(upstream: Upstream): Boolean = state.now.isAfter(upstream.leasesExpireBy)
 
-    /** The last lease granted before the restart of [upstream] was seen may apply to all runs there. */
+    /** The last lease granted before the restart of [upstream] was seen may apply to all runs there, and arrive late. */
     fun restarted(upstream: Upstream) {
-        val longest = upstream.leaseGrantedAt.plus(maxDurationAfterRestart)
+        val longest = upstream.leaseGrantedAt.plus(limits.maxOrderDelay).plus(maxDurationAfterRestart)
         upstream.leasesExpireBy = maxOf(upstream.leasesExpireBy, longest)
+        upstream.mayReceiveEarlierOrders = true
+    }
+
+    /** [upstream] has received an order that fences those sent before its restart was seen. */
+    fun earlierOrdersFenced(upstream: Upstream) {
+        upstream.leasesExpireBy = state.now.plus(maxDurationAfterRestart)
+        upstream.mayReceiveEarlierOrders = false
     }
 
     /**
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Relays.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Relays.kt
@@ -16,7 +16,7 @@
  * a process that makes few calls spends most of its processor time on loading and compiling the code for them.
  *
  * Each change of relay raises the fencing token for the upstream. No two processes share a token, and late calls of an
- * earlier relay have no effect.
+ * earlier relay have no effect. [fence] raises it for late calls of the same relay.
  */
 internal class Relays(
     private val state: CellState,
@@ -50,6 +50,11 @@
         state.emit(CellEffect.Order(via, order))
     }
 
+    /** Makes the orders that were sent to [upstream] so far have no effect there, once it has received a later one. */
+    fun fence(upstream: Upstream) {
+        upstream.relayEpoch++
+    }
+
     /** Removes the assignment of an upstream that is gone. */
     fun forget(upstream: Upstream) {
         if (upstream.relay != null) detach(upstream)
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -131,7 +131,7 @@
                 run.isUpstreamChecked = relays.isReady(run.upstream)
                 run.step?.takeIf { run.isUpstreamChecked }?.let { sendStart(run, it) }
             }
-            StopResult.DISPLACED if isFromEarlierRelay(order, run.upstream) -> Unit
+            StopResult.DISPLACED if isFencedByThisOwner(order, run.upstream) -> Unit
             StopResult.DISPLACED -> state.displacedAt(order.upstream)
             StopResult.OTHER_UPSTREAM, StopResult.UNANSWERED -> {
                 // Unusable until the next observe request succeeds.
@@ -152,15 +152,18 @@
                 run.mayStartLate = false
                 confirmStarted(run)
             }
-            StartResult.Displaced if isFromEarlierRelay(order, run.upstream) -> unanswered(run, "its relay has changed")
+            StartResult.Displaced if isFencedByThisOwner(
+                order,
+                run.upstream,
+            ) -> unanswered(run, "fenced by a later order")
             StartResult.Displaced -> state.displacedAt(order.upstream)
             is StartResult.NotStarted -> notStarted(run, result.reason)
             is StartResult.Unanswered -> unanswered(run, result.detail)
         }
     }
 
-    /** True if [order] was fenced by a later order of this owner, which a different process has sent. */
-    private fun isFromEarlierRelay(
+    /** True if [order] was fenced by a later order of this owner, after a change of relay or a restart. */
+    private fun isFencedByThisOwner(
         order: UpstreamOrder,
         upstream: Upstream,
     ): Boolean = order.token < state.tokenFor(upstream)
@@ -245,7 +248,7 @@
                 // The resources are released only once the upstream reports the end of the run.
                 run.upstream.nextObservationAt = state.now
             }
-            StopResult.DISPLACED if isFromEarlierRelay(order, run.upstream) ->
+            StopResult.DISPLACED if isFencedByThisOwner(order, run.upstream) ->
                 run.nextOrderAt = state.now.plus(limits.orderRetry)
             StopResult.DISPLACED -> state.displacedAt(order.upstream)
             StopResult.OTHER_UPSTREAM, StopResult.UNANSWERED -> run.nextOrderAt = state.now.plus(limits.orderRetry)
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
@@ -19,9 +19,11 @@
     /** Region of the upstream, or null if it is not known. */
     var region: String? = null
 
-    /** Process that calls the upstream, the time of its assignment, and the number of assignments under this owner. */
+    /** Process that calls the upstream, and the time of its assignment. */
     var relay: String? = null
     var relayedSince: Instant = Instant.MIN
+
+    /** Part of the fencing token, raised by this owner so that its earlier orders to the upstream have no effect. */
     var relayEpoch = 0L
 
     /** Earliest time at which the upstream leaves, or null if it stays. */
@@ -72,6 +74,9 @@
     var leasesExpireBy: Instant = Instant.MIN
     var leaseGrantedAt: Instant = Instant.MIN
 
+    /** True if orders for an earlier incarnation may still take effect on the present one. */
+    var mayReceiveEarlierOrders = false
+
     /** Clock of the upstream in its last answer, and the time at which that answer arrived. */
     private var clockMillis = 0L
     private var clockReadAt: Instant = Instant.MIN
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -83,17 +83,18 @@
         val upstream = state.upstreams[order.upstream] ?: return
         upstream.observationPending = false
         when (result) {
-            is Observation.Seen -> seen(upstream, sentAt, result)
+            is Observation.Seen -> seen(upstream, order, sentAt, result)
             Observation.Displaced if order.token < state.tokenFor(upstream) ->
-                failed(upstream, sentAt, "its relay has changed")
+                failed(upstream, order, sentAt, "fenced by a later order of this owner")
             Observation.Displaced -> state.displacedAt(upstream.id)
             Observation.OtherUpstream -> gone(upstream, "its address belongs to another upstream")
-            is Observation.Failed -> failed(upstream, sentAt, result.reason)
+            is Observation.Failed -> failed(upstream, order, sentAt, result.reason)
         }
     }
 
     private fun seen(
         upstream: Upstream,
+        order: UpstreamOrder.Observe,
         sentAt: Instant,
         seen: Observation.Seen,
     ) {
@@ -102,6 +103,8 @@
         upstream.readClock(seen.clockMillis, state.now)
         // A report without a start time tells nothing about a restart.
         if (seen.incarnation != Observation.Seen.UNKNOWN_INCARNATION) checkIncarnation(upstream, sentAt, seen)
+        val isCurrent = order.token == state.tokenFor(upstream)
+        if (upstream.mayReceiveEarlierOrders && isCurrent) leases.earlierOrdersFenced(upstream)
         upstream.answered(sentAt, state.now)
         val first = upstream.seenAt == null
         upstream.seenAt = sentAt
@@ -109,7 +112,8 @@
         if (first) state.dispatchNeeded = true
         // Omitted runs of an earlier owner may have ended, so their tasks must not start yet.
         if (!seen.omitsRuns && unobserved.remove(upstream.id)) tryCompleteTakeover()
-        upstream.nextObservationAt = if (first) state.now else state.now.plus(limits.observeGap)
+        upstream.nextObservationAt =
+            if (first || upstream.mayReceiveEarlierOrders) state.now else state.now.plus(limits.observeGap)
         acknowledgeAfterStored(upstream)
     }
 
@@ -126,6 +130,7 @@
         upstream.startIncarnation(incarnation)
         if (!isRestart) return
         upstream.restarts++
+        relays.fence(upstream)
         leases.restarted(upstream)
         runs.restarted(upstream)
     }
@@ -160,9 +165,12 @@
 
     private fun failed(
         upstream: Upstream,
+        order: UpstreamOrder.Observe,
         sentAt: Instant,
         reason: String,
     ) {
+        // A late acknowledgement would make a later incarnation forget ends that nobody has received.
+        if (order.acknowledgeUpTo > 0 && order.token == state.tokenFor(upstream)) relays.fence(upstream)
         upstream.unanswered(timedOut = Duration.between(sentAt, state.now) >= limits.shortestTimeout)
         if (upstream.failedObservations == 1) state.decided("upstream-unreachable", upstream, reason)
         upstream.nextObservationAt = state.now.plus(limits.observeRetry)
@@ -239,7 +247,11 @@
         upstream.observationPending = true
         val renews =
             upstream.seenAt != null && upstream.failedObservations < limits.failuresBeforeNoRenewal && leases.mayRenew()
-        val immediately = upstream.seenAt == null || upstream.failedObservations > 0 || unacknowledged
+        val immediately =
+            upstream.seenAt == null ||
+                upstream.failedObservations > 0 ||
+                upstream.mayReceiveEarlierOrders ||
+                unacknowledged
         relays.send(
             upstream,
             UpstreamOrder.Observe(
