--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Relays.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Relays.kt
@@ -16,7 +16,8 @@
  * a process that makes few calls spends most of its processor time on loading and compiling the code for them.
  *
  * Each change of relay raises the fencing token for the upstream. No two processes share a token, and late calls of an
- * earlier relay have no effect. [fence] raises it for late calls of the same relay.
+ * earlier relay have no effect; [fence] does the same for late calls of the same relay. The tokens do not fall when an
+ * upstream was gone: it may return as the same process.
  */
 internal class Relays(
     private val state: CellState,
@@ -24,6 +25,7 @@
     private val limits get() = state.limits
     private var members: Map<String, CellMember> = emptyMap()
     private val loads = HashMap<String, Int>()
+    private val goneEpochs = GoneRelayEpochs()
     private var nextReviewAt: Instant = Instant.MIN
 
     fun setMembers(helpers: List<CellMember>) {
@@ -55,9 +57,15 @@
         upstream.relayEpoch++
     }
 
+    /** Continues the relay epochs of an upstream that was gone and is listed again. */
+    fun discovered(upstream: Upstream) {
+        upstream.relayEpoch = goneEpochs.take(upstream.id)
+    }
+
     /** Removes the assignment of an upstream that is gone. */
     fun forget(upstream: Upstream) {
         if (upstream.relay != null) detach(upstream)
+        goneEpochs.keep(upstream.id, upstream.relayEpoch)
     }
 
     /** Moves upstreams without open calls to relays that are closer or less loaded. */
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -127,8 +127,6 @@
         private set
     val startTimes = ArrayList<Instant>()
 
-    /** Jobs of which an upstream has started a task. */
-    val startedJobs = HashSet<JobId>()
     val specs = HashMap<JobId, JobSpec>()
 
     /** An order, the process through which it was sent, and the time from the start of the simulation until then. */
