Count time without progress from the first start order of a run

A successor stores the place of a task before it sends the start order. A store that stalled for 6 s held the order up, and the run counted as stuck as soon as it was observed: it was stopped and its upstream charged with a failure, so the task was done later than necessary.

The time without progress began when the run was planned. It begins when the first start order is sent now, after the store and the check of a suspect's upstream. A run whose order is sent at once is treated as before.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -86,6 +86,8 @@
         if (!relays.isReady(upstream)) return
         if (step.crashes.isSuspect(run.task.index) && !run.isUpstreamChecked) return sendCheck(run)
         run.orderInFlight = true
+        // The wait for the store and for the check of the upstream is no time without progress.
+        if (run.startAttempts == 0) run.progressedAt = state.now
         run.startAttempts++
         run.lastStartSentAt = state.now
         if (run.isUpstreamChecked) crashes.trialAdvanced(run, CrashEvidence.LIKELY)
