Acknowledge ends only shortly after the upstream sent its answer

Callers saw a task that was done run again: an upstream that had restarted under its id dropped ends that nobody had received, as it was sent the number of an end of its earlier incarnation.

The owner acknowledged within 1 s of the arrival of an answer. A restart takes 0.6 s, and an answer may have been under way for longer than that. The time counts from the sending of the answer now and is 0.5 s. The sending is estimated from below by the upstream's clock: it was 0 no earlier than the time at which a request was sent less the clock in its answer. An end that comes after a long poll is still acknowledged at once.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/CellLimits.kt
@@ -18,12 +18,12 @@
     /** Delay after an observe request that failed. */
     val observeRetry: Duration = Duration.ofMillis(400),
     /**
-     * Time after an answer within which received ends are acknowledged.
+     * Time after an upstream sent an answer within which its ends are acknowledged.
      *
      * A restarted upstream numbers its ends anew, and would drop those up to the number of its earlier incarnation. It
-     * is away for longer than this.
+     * is away for 0.6 s or longer.
      */
-    val acknowledgeWithin: Duration = Duration.ofSeconds(1),
+    val acknowledgeWithin: Duration = Duration.ofMillis(500),
     /** How long after it was sent an order without an answer may still take effect. */
     val maxOrderDelay: Duration = Duration.ofSeconds(12),
     /** Consecutive failed observe requests after which leases are no longer renewed. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
@@ -77,9 +77,7 @@
     /** True if orders for an earlier incarnation may still take effect on the present one. */
     var mayReceiveEarlierOrders = false
 
-    /** Clock of the upstream in its last answer, and the time at which that answer arrived. */
-    private var clockMillis = 0L
-    private var clockReadAt: Instant = Instant.MIN
+    private var clock = UpstreamClock()
 
     private var consecutiveFailures = 0
     private var quarantinedUntil: Instant = Instant.MIN
@@ -112,22 +110,21 @@
         lastAnsweredAt = now
     }
 
-    /** True if the last observe request was answered, at most [time] before [now]. */
+    /** True if the upstream answered the last observe request, and sent that answer at most [time] before [now]. */
     fun answeredWithin(
         time: Duration,
         now: Instant,
-    ): Boolean = failedObservations == 0 && !now.isAfter(lastAnsweredAt.plus(time))
+    ): Boolean = failedObservations == 0 && !now.isAfter(clock.lastAnswerSentAfter().plus(time))
 
+    /** The answer to the request that was sent at [sentAt] arrived at [now] with the time [millis]. */
     fun readClock(
         millis: Long,
+        sentAt: Instant,
         now: Instant,
-    ) {
-        clockMillis = millis
-        clockReadAt = now
-    }
+    ): Unit = clock.read(millis, sentAt, now)
 
     /** Returns a lower bound of the upstream's clock at [now]. */
-    fun clockAt(now: Instant): Long = clockMillis + Duration.between(clockReadAt, now).toMillis()
+    fun clockAt(now: Instant): Long = clock.at(now)
 
     fun add(run: Run) {
         check(runs.put(run.task, run) == null) { "${run.task} already has a run on $id" }
@@ -174,9 +171,10 @@
         return true
     }
 
-    /** Resets the counters of ends: a new incarnation has no runs and numbers its ends from 1 again. */
+    /** Resets the clock and the counters of ends: a new incarnation has no runs and numbers its ends from 1 again. */
     fun startIncarnation(newIncarnation: Long) {
         incarnation = newIncarnation
+        clock = UpstreamClock()
         lastReceivedEnd = 0
         lastStoredEnd = 0
     }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -101,9 +101,9 @@
     ) {
         val failed = upstream.failedObservations
         if (failed > 0) state.decided("upstream-regained", upstream, "$failed observe request(s) failed")
-        upstream.readClock(seen.clockMillis, state.now)
         // A report without a start time tells nothing about a restart.
         if (seen.incarnation != Observation.Seen.UNKNOWN_INCARNATION) checkIncarnation(upstream, sentAt, seen)
+        upstream.readClock(seen.clockMillis, sentAt, state.now)
         val isCurrent = order.token == state.tokenFor(upstream)
         if (upstream.mayReceiveEarlierOrders && isCurrent) leases.earlierOrdersFenced(upstream)
         upstream.answered(sentAt, state.now)
