Limit the epochs that are used up by fencing

Each restart and each unanswered acknowledgement raises the epoch of an upstream, and an owner fails once an upstream has used 4,096 of them. At most 3,072 are used for fencing now, and the others remain for changes of relay. Without a fence the owner waits until late orders can have no effect. This was found by reading; no test covers the limit.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Leases.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Leases.kt
@@ -28,11 +28,18 @@
     /** True if the leases that this owner granted on [upstream] have expired. */
     fun haveExpired(upstream: Upstream): Boolean = state.now.isAfter(upstream.leasesExpireBy)
 
-    /** The last lease granted before the restart of [upstream] was seen may apply to all runs there, and arrive late. */
-    fun restarted(upstream: Upstream) {
+    /**
+     * The last lease granted before the restart of [upstream] was seen may apply to all runs there, and arrive late.
+     *
+     * [isFencing] tells that the next order fences those sent before, so that less time has to pass.
+     */
+    fun restarted(
+        upstream: Upstream,
+        isFencing: Boolean,
+    ) {
         val longest = upstream.leaseGrantedAt.plus(limits.maxOrderDelay).plus(maxDurationAfterRestart)
         upstream.leasesExpireBy = maxOf(upstream.leasesExpireBy, longest)
-        upstream.mayReceiveEarlierOrders = true
+        upstream.mayReceiveEarlierOrders = isFencing
     }
 
     /** [upstream] has received an order that fences those sent before its restart was seen. */
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Relays.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Relays.kt
@@ -52,9 +52,15 @@
         state.emit(CellEffect.Order(via, order))
     }
 
-    /** Makes the orders that were sent to [upstream] so far have no effect there, once it has received a later one. */
-    fun fence(upstream: Upstream) {
+    /**
+     * Makes the orders that were sent to [upstream] so far have no effect there, once it has received a later one.
+     *
+     * Returns false if the upstream has used up its epochs for this, as the others are needed for changes of relay.
+     */
+    fun fence(upstream: Upstream): Boolean {
+        if (upstream.relayEpoch >= MAX_FENCED_EPOCH) return false
         upstream.relayEpoch++
+        return true
     }
 
     /** Continues the relay epochs of an upstream that was gone and is listed again. */
@@ -146,5 +152,8 @@
     private companion object {
         /** Lower bound of a process's cores for calls, so that an owner without other processes makes all of them. */
         const val MIN_CORES = 0.02
+
+        /** Upper bound of the epochs that [fence] uses: three quarters of those under one token. */
+        const val MAX_FENCED_EPOCH = 3_072L
     }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -131,8 +131,7 @@
         upstream.startIncarnation(incarnation)
         if (!isRestart) return
         upstream.restarts++
-        relays.fence(upstream)
-        leases.restarted(upstream)
+        leases.restarted(upstream, isFencing = relays.fence(upstream))
         runs.restarted(upstream)
     }
 
