Do not take a fenced start order for a broken connection

A start order that a later order of the same owner had fenced was treated as unanswered: if the refusal came within 0.8 s, the connection counted as broken, which is evidence that the task crashed the upstream, and the order counted as an attempt. The upstream has answered that it did nothing, so the order is repeated under the present token and is no evidence.

This was found by reading.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -155,10 +155,7 @@
                 run.step?.let(::recordStart)
                 confirmStarted(run)
             }
-            StartResult.Displaced if isFencedByThisOwner(
-                order,
-                run.upstream,
-            ) -> unanswered(run, "fenced by a later order")
+            StartResult.Displaced if isFencedByThisOwner(order, run.upstream) -> fenced(run)
             StartResult.Displaced -> state.displacedAt(order.upstream)
             is StartResult.NotStarted -> notStarted(run, result.reason)
             is StartResult.Unanswered -> unanswered(run, result.detail)
@@ -171,6 +168,14 @@
         upstream: Upstream,
     ): Boolean = order.token < state.tokenFor(upstream)
 
+    /** The upstream has answered that it did nothing, so the order is no reason for a crash and may be repeated. */
+    private fun fenced(run: Run) {
+        run.startAttempts--
+        run.isUpstreamChecked = false
+        run.nextOrderAt = state.now.plus(limits.orderRetry)
+        state.decided("start-fenced", run.task, "run ${run.number} on ${run.upstream}")
+    }
+
     private fun unanswered(
         run: Run,
         detail: String,
