Wait for the longest lease of runs that were not observed

Callers saw two runs of a task, or a task that was done run again, after an upstream had restarted under its id within 0.6 s and was cut off before the restart was seen. A start there had a lease end on the clock of the earlier incarnation. The upstream limits such a lease to 10 s, and the owner assumed 5.5 s, as the order had been answered.

A run counts as over at the assumed end of its lease only if the present incarnation has listed it; otherwise after the longest lease, counted from the last grant there. Runs on an upstream that is cut off without a restart are affected only if they started after its last answered observation; they are given up about 10.7 s instead of 6.1 s after the last grant.

A restart also makes the owner repeat the stop orders that the earlier incarnation had answered, as a late start order may start the run again.

--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -295,6 +295,9 @@
     /** True if the upstream has confirmed that it received a start order. */
     var isStartAnswered = false
 
+    /** True if the incarnation of the upstream that was observed last has listed the run. */
+    var isObserved = false
+
     /** True if the last start order ended without an answer before its timeout. */
     var isConnectionBroken = false
 
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Leases.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Leases.kt
@@ -51,11 +51,13 @@
     /**
      * True if [run], whose upstream is silent and whose other leases there have expired, is certainly over.
      *
-     * A start order without an answer may have reached a new incarnation, whose clock is behind the one that the end of
-     * the lease was computed from. The upstream then limits the lease to the longest one that it accepts.
+     * A run that was not observed may be on a new incarnation, whose clock is behind the one that the end of the lease
+     * was computed from. The upstream then limits the lease to the longest one that it accepts.
      */
-    fun isCertainlyOver(run: Run): Boolean =
-        run.isStartAnswered || state.now.isAfter(run.lastStartSentAt.plus(maxDurationAfterRestart))
+    fun isCertainlyOver(run: Run): Boolean {
+        val lastGrant = maxOf(run.lastStartSentAt, run.upstream.leaseGrantedAt)
+        return run.isObserved || state.now.isAfter(lastGrant.plus(maxDurationAfterRestart))
+    }
 
     /** Returns when leases of earlier owners have certainly expired. They may renew them until they have [ended]. */
     fun earlierOwnersExpireBy(ended: Boolean): Instant {
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -302,8 +302,16 @@
         missing.forEach { lost(it, "$upstream no longer reports it") }
     }
 
-    /** Ends the runs whose start order [upstream], which has restarted, may not have received in this incarnation. */
+    /**
+     * Ends the runs whose start order [upstream], which has restarted, may not have received in this incarnation.
+     *
+     * Runs that an earlier incarnation was told to stop are stopped again, as a late order may start them on this one.
+     */
     fun restarted(upstream: Upstream) {
+        upstream.runs.values.forEach {
+            it.isObserved = false
+            if (it.status == Run.Status.STOPPING) it.answeredAt = null
+        }
         upstream.runs.values
             .filter { it.status == Run.Status.STARTING }
             // A repeated start order could crash the upstream once more without a new decision.
@@ -331,6 +339,7 @@
         sentAt: Instant,
     ) {
         run.mayStartLate = false
+        run.isObserved = true
         confirmStarted(run)
         checkProbation(run, sentAt)
         if (row.percent != run.percent) {
@@ -368,6 +377,7 @@
             ).apply {
                 status = Run.Status.STARTED
                 isStartAnswered = true
+                isObserved = true
                 answeredAt = state.now
                 // The start time is unknown; it is approximated from the reported progress.
                 startedAt =
