--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Leases.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Leases.kt
@@ -28,20 +28,36 @@
     /** True if the leases that this owner granted on [upstream] have expired. */
     fun haveExpired(upstream: Upstream): Boolean = state.now.isAfter(upstream.leasesExpireBy)
 
-    /** The last lease granted before the restart of [upstream] was seen may apply to all runs there. */
-    fun restarted(upstream: Upstream) {
-        val longest = upstream.leaseGrantedAt.plus(maxDurationAfterRestart)
+    /**
+     * The last lease granted before the restart of [upstream] was seen may apply to all runs there, and arrive late.
+     *
+     * [isFencing] tells that the next order fences those sent before, so that less time has to pass.
+     */
+    fun restarted(
+        upstream: Upstream,
+        isFencing: Boolean,
+    ) {
+        val longest = upstream.leaseGrantedAt.plus(limits.maxOrderDelay).plus(maxDurationAfterRestart)
         upstream.leasesExpireBy = maxOf(upstream.leasesExpireBy, longest)
+        upstream.mayReceiveEarlierOrders = isFencing
+    }
+
+    /** [upstream] has received an order that fences those sent before its restart was seen. */
+    fun earlierOrdersFenced(upstream: Upstream) {
+        upstream.leasesExpireBy = state.now.plus(maxDurationAfterRestart)
+        upstream.mayReceiveEarlierOrders = false
     }
 
     /**
      * True if [run], whose upstream is silent and whose other leases there have expired, is certainly over.
      *
-     * A start order without an answer may have reached a new incarnation, whose clock is behind the one that the end of
-     * the lease was computed from. The upstream then limits the lease to the longest one that it accepts.
+     * A run that was not observed may be on a new incarnation, whose clock is behind the one that the end of the lease
+     * was computed from. The upstream then limits the lease to the longest one that it accepts.
      */
-    fun isCertainlyOver(run: Run): Boolean =
-        run.isStartAnswered || state.now.isAfter(run.lastStartSentAt.plus(maxDurationAfterRestart))
+    fun isCertainlyOver(run: Run): Boolean {
+        val lastGrant = maxOf(run.lastStartSentAt, run.upstream.leaseGrantedAt)
+        return run.isObserved || state.now.isAfter(lastGrant.plus(maxDurationAfterRestart))
+    }
 
     /** Returns when leases of earlier owners have certainly expired. They may renew them until they have [ended]. */
     fun earlierOwnersExpireBy(ended: Boolean): Instant {
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Relays.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Relays.kt
@@ -16,7 +16,8 @@
  * a process that makes few calls spends most of its processor time on loading and compiling the code for them.
  *
  * Each change of relay raises the fencing token for the upstream. No two processes share a token, and late calls of an
- * earlier relay have no effect. The tokens do not fall when an upstream was gone: it may return as the same process.
+ * earlier relay have no effect; [fence] does the same for late calls of the same relay. The tokens do not fall when an
+ * upstream was gone: it may return as the same process.
  */
 internal class Relays(
     private val state: CellState,
@@ -51,6 +52,17 @@
         state.emit(CellEffect.Order(via, order))
     }
 
+    /**
+     * Makes the orders that were sent to [upstream] so far have no effect there, once it has received a later one.
+     *
+     * Returns false if the upstream has used up its epochs for this, as the others are needed for changes of relay.
+     */
+    fun fence(upstream: Upstream): Boolean {
+        if (upstream.relayEpoch >= MAX_FENCED_EPOCH) return false
+        upstream.relayEpoch++
+        return true
+    }
+
     /** Continues the relay epochs of an upstream that was gone and is listed again. */
     fun discovered(upstream: Upstream) {
         upstream.relayEpoch = goneEpochs.take(upstream.id)
@@ -140,5 +152,8 @@
     private companion object {
         /** Lower bound of a process's cores for calls, so that an owner without other processes makes all of them. */
         const val MIN_CORES = 0.02
+
+        /** Upper bound of the epochs that [fence] uses: three quarters of those under one token. */
+        const val MAX_FENCED_EPOCH = 3_072L
     }
 }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -86,6 +86,8 @@
         if (!relays.isReady(upstream)) return
         if (step.crashes.isSuspect(run.task.index) && !run.isUpstreamChecked) return sendCheck(run)
         run.orderInFlight = true
+        // The wait for the store and for the check of the upstream is no time without progress.
+        if (run.startAttempts == 0) run.progressedAt = state.now
         run.startAttempts++
         run.lastStartSentAt = state.now
         if (run.isUpstreamChecked) crashes.trialAdvanced(run, CrashEvidence.LIKELY)
@@ -131,7 +133,7 @@
                 run.isUpstreamChecked = relays.isReady(run.upstream)
                 run.step?.takeIf { run.isUpstreamChecked }?.let { sendStart(run, it) }
             }
-            StopResult.DISPLACED if isFromEarlierRelay(order, run.upstream) -> Unit
+            StopResult.DISPLACED if isFencedByThisOwner(order, run.upstream) -> Unit
             StopResult.DISPLACED -> state.displacedAt(order.upstream)
             StopResult.OTHER_UPSTREAM, StopResult.UNANSWERED -> {
                 // Unusable until the next observe request succeeds.
@@ -153,19 +155,27 @@
                 run.step?.let(::recordStart)
                 confirmStarted(run)
             }
-            StartResult.Displaced if isFromEarlierRelay(order, run.upstream) -> unanswered(run, "its relay has changed")
+            StartResult.Displaced if isFencedByThisOwner(order, run.upstream) -> fenced(run)
             StartResult.Displaced -> state.displacedAt(order.upstream)
             is StartResult.NotStarted -> notStarted(run, result.reason)
             is StartResult.Unanswered -> unanswered(run, result.detail)
         }
     }
 
-    /** True if [order] was fenced by a later order of this owner, which a different process has sent. */
-    private fun isFromEarlierRelay(
+    /** True if [order] was fenced by a later order of this owner, after a change of relay or a restart. */
+    private fun isFencedByThisOwner(
         order: UpstreamOrder,
         upstream: Upstream,
     ): Boolean = order.token < state.tokenFor(upstream)
 
+    /** The upstream has answered that it did nothing, so the order is no reason for a crash and may be repeated. */
+    private fun fenced(run: Run) {
+        run.startAttempts--
+        run.isUpstreamChecked = false
+        run.nextOrderAt = state.now.plus(limits.orderRetry)
+        state.decided("start-fenced", run.task, "run ${run.number} on ${run.upstream}")
+    }
+
     private fun unanswered(
         run: Run,
         detail: String,
@@ -256,7 +266,7 @@
                 // The resources are released only once the upstream reports the end of the run.
                 run.upstream.nextObservationAt = state.now
             }
-            StopResult.DISPLACED if isFromEarlierRelay(order, run.upstream) ->
+            StopResult.DISPLACED if isFencedByThisOwner(order, run.upstream) ->
                 run.nextOrderAt = state.now.plus(limits.orderRetry)
             StopResult.DISPLACED -> state.displacedAt(order.upstream)
             StopResult.OTHER_UPSTREAM, StopResult.UNANSWERED -> run.nextOrderAt = state.now.plus(limits.orderRetry)
@@ -294,8 +304,16 @@
         missing.forEach { lost(it, "$upstream no longer reports it") }
     }
 
-    /** Ends the runs whose start order [upstream], which has restarted, may not have received in this incarnation. */
+    /**
+     * Ends the runs whose start order [upstream], which has restarted, may not have received in this incarnation.
+     *
+     * Runs that an earlier incarnation was told to stop are stopped again, as a late order may start them on this one.
+     */
     fun restarted(upstream: Upstream) {
+        upstream.runs.values.forEach {
+            it.isObserved = false
+            if (it.status == Run.Status.STOPPING) it.answeredAt = null
+        }
         upstream.runs.values
             .filter { it.status == Run.Status.STARTING }
             // A repeated start order could crash the upstream once more without a new decision.
@@ -323,6 +341,7 @@
         sentAt: Instant,
     ) {
         run.mayStartLate = false
+        run.isObserved = true
         confirmStarted(run)
         checkProbation(run, sentAt)
         if (row.percent != run.percent) {
@@ -360,6 +379,7 @@
             ).apply {
                 status = Run.Status.STARTED
                 isStartAnswered = true
+                isObserved = true
                 answeredAt = state.now
                 // The start time is unknown; it is approximated from the reported progress.
                 startedAt =
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Upstream.kt
@@ -19,9 +19,11 @@
     /** Region of the upstream, or null if it is not known. */
     var region: String? = null
 
-    /** Process that calls the upstream, the time of its assignment, and the number of assignments under this owner. */
+    /** Process that calls the upstream, and the time of its assignment. */
     var relay: String? = null
     var relayedSince: Instant = Instant.MIN
+
+    /** Part of the fencing token, raised by this owner so that its earlier orders to the upstream have no effect. */
     var relayEpoch = 0L
 
     /** Earliest time at which the upstream leaves, or null if it stays. */
@@ -72,9 +74,10 @@
     var leasesExpireBy: Instant = Instant.MIN
     var leaseGrantedAt: Instant = Instant.MIN
 
-    /** Clock of the upstream in its last answer, and the time at which that answer arrived. */
-    private var clockMillis = 0L
-    private var clockReadAt: Instant = Instant.MIN
+    /** True if orders for an earlier incarnation may still take effect on the present one. */
+    var mayReceiveEarlierOrders = false
+
+    private var clock = UpstreamClock()
 
     private var consecutiveFailures = 0
     private var quarantinedUntil: Instant = Instant.MIN
@@ -107,22 +110,21 @@
         lastAnsweredAt = now
     }
 
-    /** True if the last observe request was answered, at most [time] before [now]. */
+    /** True if the upstream answered the last observe request, and sent that answer at most [time] before [now]. */
     fun answeredWithin(
         time: Duration,
         now: Instant,
-    ): Boolean = failedObservations == 0 && !now.isAfter(lastAnsweredAt.plus(time))
+    ): Boolean = failedObservations == 0 && !now.isAfter(clock.lastAnswerSentAfter().plus(time))
 
+    /** The answer to the request that was sent at [sentAt] arrived at [now] with the time [millis]. */
     fun readClock(
         millis: Long,
+        sentAt: Instant,
         now: Instant,
-    ) {
-        clockMillis = millis
-        clockReadAt = now
-    }
+    ): Unit = clock.read(millis, sentAt, now)
 
     /** Returns a lower bound of the upstream's clock at [now]. */
-    fun clockAt(now: Instant): Long = clockMillis + Duration.between(clockReadAt, now).toMillis()
+    fun clockAt(now: Instant): Long = clock.at(now)
 
     fun add(run: Run) {
         check(runs.put(run.task, run) == null) { "${run.task} already has a run on $id" }
@@ -169,9 +171,10 @@
         return true
     }
 
-    /** Resets the counters of ends: a new incarnation has no runs and numbers its ends from 1 again. */
+    /** Resets the clock and the counters of ends: a new incarnation has no runs and numbers its ends from 1 again. */
     fun startIncarnation(newIncarnation: Long) {
         incarnation = newIncarnation
+        clock = UpstreamClock()
         lastReceivedEnd = 0
         lastStoredEnd = 0
     }
