--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -153,7 +153,7 @@
             StartResult.Started -> {
                 run.mayStartLate = false
                 run.step?.let(::recordStart)
-                confirmStarted(run)
+                startAnswered(run)
             }
             StartResult.Displaced if isFencedByThisOwner(order, run.upstream) -> fenced(run)
             StartResult.Displaced -> state.displacedAt(order.upstream)
@@ -197,7 +197,7 @@
         state.decided("start-rejected", run.task, "run ${run.number} on ${run.upstream}: $reason")
         when (reason) {
             // An earlier copy of the order may have started the run; the next observation shows whether it did.
-            NotStartedReason.OLD -> return confirmStarted(run)
+            NotStartedReason.OLD -> return startAnswered(run)
             NotStartedReason.TICKET -> run.step?.advice?.validUntil = state.now
             NotStartedReason.UNHEALTHY -> run.upstream.failed(state.now, limits)
             else -> Unit
@@ -206,7 +206,7 @@
     }
 
     /** A run that is being stopped stays unanswered until its stop order is, as only then the order is not repeated. */
-    private fun confirmStarted(run: Run) {
+    private fun startAnswered(run: Run) {
         run.isStartAnswered = true
         crashes.trialAdvanced(run, CrashEvidence.PROVEN)
         if (run.status != Run.Status.STARTING) return
@@ -342,7 +342,7 @@
     ) {
         run.mayStartLate = false
         run.isObserved = true
-        confirmStarted(run)
+        startAnswered(run)
         checkProbation(run, sentAt)
         if (row.percent != run.percent) {
             run.percent = row.percent
