--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/UpstreamWatch.kt
@@ -88,6 +88,8 @@
             Observation.Displaced if order.token < state.tokenFor(upstream) ->
                 failed(upstream, order, sentAt, "fenced by a later order of this owner")
             Observation.Displaced -> state.displacedAt(upstream.id)
+            Observation.OtherUpstream if order.address != upstream.address ->
+                failed(upstream, order, sentAt, "its earlier address ${order.address} belongs to another upstream")
             Observation.OtherUpstream -> gone(upstream, "its address belongs to another upstream")
             is Observation.Failed -> failed(upstream, order, sentAt, result.reason)
         }
