--- a/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/UpstreamReport.kt
+++ b/protocol/src/main/kotlin/org/anvilbarrow/protocol/jobs/UpstreamReport.kt
@@ -28,6 +28,14 @@
     ) : UpstreamReport
 }
 
+/** True if [report] is of the kind that answers this order. */
+public fun UpstreamOrder.isAnsweredBy(report: UpstreamReport): Boolean =
+    when (this) {
+        is UpstreamOrder.Observe -> report is UpstreamReport.Observed
+        is UpstreamOrder.Start -> report is UpstreamReport.Started
+        is UpstreamOrder.Stop -> report is UpstreamReport.Stopped
+    }
+
 /** Returns the report for an order without an answer, which may have been executed or may still be. */
 public fun UpstreamOrder.unanswered(detail: String): UpstreamReport =
     when (this) {
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OrderDispatch.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/OrderDispatch.kt
@@ -6,6 +6,7 @@
 import org.anvilbarrow.protocol.jobs.NumberedOrder
 import org.anvilbarrow.protocol.jobs.UpstreamOrder
 import org.anvilbarrow.protocol.jobs.UpstreamReport
+import org.anvilbarrow.protocol.jobs.isAnsweredBy
 import org.anvilbarrow.protocol.jobs.unanswered
 import java.time.Duration
 import java.time.Instant
@@ -44,7 +45,7 @@
         done: (UpstreamReport) -> Unit,
     ) {
         if (via == self) {
-            upstreams.send(order).thenAccept { report -> post { done(report) } }
+            upstreams.send(order).thenAccept { report -> post { done(checked(order, report, self)) } }
             return
         }
         val number = numbers.next()
@@ -80,10 +81,24 @@
         reports.reports.forEach { numbered ->
             val order = open[numbered.number]?.takeIf { it.via == from } ?: return@forEach
             open -= numbered.number
-            order.done(numbered.report)
+            order.done(checked(order.order, numbered.report, from))
         }
     }
 
+    /** Returns [report], or that [order] is unanswered if the report is of another kind. */
+    private fun checked(
+        order: UpstreamOrder,
+        report: UpstreamReport,
+        from: String,
+    ): UpstreamReport {
+        if (order.isAnsweredBy(report)) return report
+        log.error {
+            "event=report-mismatched peer=$from upstream=${order.upstream} " +
+                "order=${order::class.simpleName} report=${report::class.simpleName}"
+        }
+        return order.unanswered("$from reported on another kind of order")
+    }
+
     /** Gives up the orders sent to [via], whose connection broke; they may have been carried out. */
     fun lost(via: String) {
         val lost = open.filterValues { it.via == via }.keys
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OrderDispatchTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/OrderDispatchTest.kt
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.containsExactly
@@ -35,10 +36,10 @@
     private val random = SplittableRandom(1)
     private val dispatch = incarnation()
 
-    private fun incarnation() =
+    private fun incarnation(direct: UpstreamReport = STARTED) =
         OrderDispatch(
             "self",
-            { CompletableFuture.completedFuture(STARTED) },
+            { CompletableFuture.completedFuture(direct) },
             { now },
             CorrelationNumbers(random),
             { it() },
@@ -139,6 +140,18 @@
         expectThat(reports).hasSize(presentOrders).all { isEqualTo(STARTED) }
     }
 
+    /** Guards against a report of another kind, on which the owner would give up the shard. */
+    @ParameterizedTest
+    @ValueSource(strings = ["peer", "self"])
+    fun `a report of another kind than its order counts as no answer`(via: String) {
+        val mismatched = incarnation(direct = LATE)
+        mismatched.send(via, start(0)) { reports += it }
+        mismatched.flush()
+        val numbers = sent.flatMap { it.second.orders }.map { it.number }
+        mismatched.reported("peer", CellMessage.Reports(numbers.map { NumberedReport(it, LATE) }))
+        expectThat(reports.single()).isA<UpstreamReport.Started>().get { result }.isA<StartResult.Unanswered>()
+    }
+
     /** Sends [count] orders from [from] to a peer and returns their numbers. */
     private fun send(
         from: OrderDispatch,
