--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/Dispatcher.kt
@@ -27,21 +27,17 @@
         val ended = balancer.ended(call) ?: return
         val step = ended.step
         val advice = step.advice
-        if (good == null) {
+        // An answer that names other upstreams than the call is not its own, and denies nothing either.
+        if (good == null || good.any { it.upstream !in ended.named }) {
             advice.retryAt = state.now.plus(limits.orderRetry)
             state.decided("advice-failed", step, "call $call")
         } else {
             val terms = state.queueOf(step.job)?.advice ?: return
             // Upstreams of a failed request are not recorded, so that the next request names them again.
-            advice.asked += ended.named
-            advice.answers++
+            val isRevoking = advice.record(ended.named.toSet(), good)
+            if (isRevoking) state.decided("advice-contradicted", step, "call $call denies what an earlier one allowed")
             if (advice.firstAnswerAt == null) advice.firstAnswerAt = state.now
-            selector.recordAnswer(step, ended.named.size, good.size)
-            advice.tickets.clear()
-            good.forEach {
-                advice.allowed += it.upstream
-                advice.tickets[it.upstream] = it.value
-            }
+            selector.recordAnswer(step, ended.named.size, advice.tickets.size)
             advice.validUntil = state.now.plus(terms.validity).minus(limits.ticketMargin)
             advice.renewAt = state.now.plus(laxityOf(step, Ranking(state).of(step)).renewalPause)
         }
--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/JobRun.kt
@@ -11,6 +11,7 @@
 import org.anvilbarrow.protocol.jobs.StepRef
 import org.anvilbarrow.protocol.jobs.SubmissionRecord
 import org.anvilbarrow.protocol.jobs.TaskRef
+import org.anvilbarrow.protocol.jobs.Ticket
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.UpstreamId
 import java.time.Duration
@@ -346,7 +347,7 @@
     /** Upstreams that answered calls have named. */
     val asked = HashSet<UpstreamId>()
 
-    /** Upstreams that may run the step; the service never revokes this. */
+    /** Upstreams that may run the step. */
     val allowed = HashSet<UpstreamId>()
     val tickets = HashMap<UpstreamId, String>()
 
@@ -358,4 +359,27 @@
     var renewAt: Instant = Instant.MIN
 
     fun isFresh(now: Instant): Boolean = now.isBefore(validUntil)
+
+    /**
+     * Records an answer about the upstreams in [named] and returns true if it denies one that was allowed before.
+     *
+     * The service never revokes what it allows, so one of the two answers was about another step or upstream. All
+     * upstreams are asked about again then.
+     */
+    fun record(
+        named: Set<UpstreamId>,
+        good: List<Ticket>,
+    ): Boolean {
+        answers++
+        tickets.clear()
+        good.associateTo(tickets) { it.upstream to it.value }
+        val isRevoking = named.any { it in allowed && it !in tickets }
+        if (isRevoking) {
+            asked.clear()
+            allowed.clear()
+        }
+        asked += named
+        allowed += tickets.keys
+        return isRevoking
+    }
 }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/FakeWorker.kt
@@ -46,6 +46,9 @@
     /** True if start orders are rejected as late, as if their lease had ended on the way. */
     var rejectsStarts = false
 
+    /** True if starts of steps that the advice service does not allow here are rejected. */
+    var checksTickets = false
+
     /** True from a crash until the restart; no call is answered meanwhile. */
     var isDown = false
         private set
@@ -142,6 +145,7 @@
             current != null || order.run <= (closedRuns[order.task] ?: 0) ->
                 StartResult.NotStarted(NotStartedReason.OLD)
             rejectsStarts || order.leaseUntilMillis < clock() -> StartResult.NotStarted(NotStartedReason.LATE)
+            checksTickets && !world.isAllowed(order.task.step, id) -> StartResult.NotStarted(NotStartedReason.TICKET)
             else -> begin(order)
         }
     }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/JobWorld.kt
@@ -69,6 +69,9 @@
     /** Number of the next calls for advice that fail. */
     var failingAdvice = 0
 
+    /** Number of the next calls for advice that are answered with the upstreams of another step. */
+    var misdirectedAdvice = 0
+
     /** Workspaces of the current version of the configuration. */
     var workspaces = workspaces
         private set
@@ -360,12 +363,13 @@
     ) {
         val terms = checkNotNull(advice) { "the owner asks for advice, but none is configured" }
         val fails = failingAdvice-- > 0
+        val answeredFor = if (misdirectedAdvice-- > 0) effect.step.copy(job = JobId("other")) else effect.step
         after(terms.cost(effect.upstreams.size)) {
             if (fails) return@after reply(from) { CellEvent.Advised(effect.call, null) }
             reply(from) {
                 CellEvent.Advised(
                     effect.call,
-                    effect.upstreams.filter { isAllowed(effect.step, it) }.map { Ticket(it, "t") },
+                    effect.upstreams.filter { isAllowed(answeredFor, it) }.map { Ticket(it, "t") },
                 )
             }
         }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/AdviceDispatch.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/AdviceDispatch.kt
@@ -18,7 +18,12 @@
     /** Sends a message to a peer; returns false if the peer is not connected. */
     private val send: (to: String, call: CellMessage.Advise) -> Boolean,
 ) : AdviceCaller {
-    private val open = HashMap<Long, (List<Ticket>?) -> Unit>()
+    private class OpenCall(
+        val helper: String,
+        val done: (List<Ticket>?) -> Unit,
+    )
+
+    private val open = HashMap<Long, OpenCall>()
 
     override fun advise(
         shard: Int,
@@ -30,7 +35,7 @@
             return
         }
         val number = numbers.next()
-        open[number] = done
+        open[number] = OpenCall(call.helper, done)
         val message = CellMessage.Advise(number, call.step, call.upstreams, call.timeout.toMillis())
         if (!send(call.helper, message)) {
             open -= number
@@ -41,8 +46,13 @@
         }
     }
 
-    /** Completes the call that [message] answers, unless it has timed out. */
-    fun advised(message: CellMessage.Advised) {
-        open.remove(message.call)?.invoke(message.tickets)
+    /** Completes the call that [message] answers, if it was made by [from] and has not timed out. */
+    fun advised(
+        from: String,
+        message: CellMessage.Advised,
+    ) {
+        val call = open[message.call]?.takeIf { it.helper == from } ?: return
+        open -= message.call
+        call.done(message.tickets)
     }
 }
--- a/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
+++ b/scheduler/src/main/kotlin/org/anvilbarrow/scheduler/cell/CellProcess.kt
@@ -279,7 +279,7 @@
                 ports.advice
                     .advise(message.step, message.upstreams, Duration.ofMillis(message.timeoutMillis))
                     .thenAccept { mesh.send(from, CellMessage.Advised(message.call, it)) }
-            is CellMessage.Advised -> control.post { adviceDispatch.advised(message) }
+            is CellMessage.Advised -> control.post { adviceDispatch.advised(from, message) }
             is CellMessage.Orders -> relay.received(from, message)
             is CellMessage.Reports -> control.post { dispatch.reported(from, message) }
         }
--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/AdviceDispatchTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/AdviceDispatchTest.kt
@@ -65,7 +65,7 @@
     fun `a call is made by the process itself or by a peer and completed once`() {
         expectThat(advise(dispatch, helper = "self")).isEmpty()
         val number = advise(dispatch).single()
-        repeat(2) { dispatch.advised(CellMessage.Advised(number, null)) }
+        repeat(2) { dispatch.advised("peer", CellMessage.Advised(number, null)) }
         expectThat(answers).containsExactly(TICKETS, null)
     }
 
@@ -82,10 +82,20 @@
     fun `an answer after the timeout of its call is dropped`() {
         val number = advise(dispatch).single()
         delayed.forEach { it() }
-        dispatch.advised(CellMessage.Advised(number, TICKETS))
+        dispatch.advised("peer", CellMessage.Advised(number, TICKETS))
         expectThat(answers).isEmpty()
     }
 
+    /** Guards against tickets that another process than the one that was asked has answered with. */
+    @Test
+    fun `an answer counts only from the peer that made the call`() {
+        val number = advise(dispatch).single()
+        dispatch.advised("other", CellMessage.Advised(number, LATE_TICKETS))
+        expectThat(answers).isEmpty()
+        dispatch.advised("peer", CellMessage.Advised(number, TICKETS))
+        expectThat(answers.single()).isEqualTo(TICKETS)
+    }
+
     /** Guards against tickets for one step that are recorded for another, which then asks for the wrong upstreams. */
     @ParameterizedTest
     @CsvSource("1, 1", "1, 40", "40, 1", "40, 40")
@@ -96,9 +106,9 @@
         val earlier = advise(dispatch, earlierCalls) { }
         val restarted = incarnation()
         val present = advise(restarted, presentCalls)
-        earlier.forEach { restarted.advised(CellMessage.Advised(it, LATE_TICKETS)) }
+        earlier.forEach { restarted.advised("peer", CellMessage.Advised(it, LATE_TICKETS)) }
         expectThat(answers).isEmpty()
-        present.forEach { restarted.advised(CellMessage.Advised(it, TICKETS)) }
+        present.forEach { restarted.advised("peer", CellMessage.Advised(it, TICKETS)) }
         expectThat(answers).hasSize(presentCalls).all { isEqualTo(TICKETS) }
     }
 
