--- a/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/ShardControllerTest.kt
+++ b/scheduler/src/test/kotlin/org/anvilbarrow/scheduler/cell/ShardControllerTest.kt
@@ -1,7 +1,9 @@
 package org.anvilbarrow.scheduler.cell
 
 import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
 import org.anvilbarrow.adapters.cell.AppendCondition
 import org.anvilbarrow.adapters.cell.AppendOutcome
 import org.anvilbarrow.adapters.cell.CellStore
@@ -12,21 +14,29 @@
 import org.anvilbarrow.adapters.cell.ReadOutcome
 import org.anvilbarrow.kernel.jobs.CallKey
 import org.anvilbarrow.kernel.jobs.CellConfig
+import org.anvilbarrow.kernel.jobs.CellEvent
 import org.anvilbarrow.kernel.jobs.CellLimits
+import org.anvilbarrow.kernel.jobs.QueueConfig
 import org.anvilbarrow.kernel.jobs.UpstreamEntry
 import org.anvilbarrow.kernel.ownership.ClaimLimits
 import org.anvilbarrow.protocol.jobs.CellMember
 import org.anvilbarrow.protocol.jobs.CellMessage
 import org.anvilbarrow.protocol.jobs.ClaimRecord
 import org.anvilbarrow.protocol.jobs.JobAnswer
+import org.anvilbarrow.protocol.jobs.JobId
+import org.anvilbarrow.protocol.jobs.JobRequest
+import org.anvilbarrow.protocol.jobs.JobSpec
 import org.anvilbarrow.protocol.jobs.KeyedRecord
 import org.anvilbarrow.protocol.jobs.Observation
 import org.anvilbarrow.protocol.jobs.RecordCodec
+import org.anvilbarrow.protocol.jobs.StepSpec
 import org.anvilbarrow.protocol.jobs.UpstreamOrder
 import org.anvilbarrow.protocol.jobs.UpstreamReport
 import org.anvilbarrow.protocol.model.Resources
 import org.anvilbarrow.protocol.model.UpstreamId
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isFalse
@@ -55,6 +65,9 @@
         val logs = HashMap<String, ArrayList<KeyedRecord>>()
         var isSlow = false
 
+        /** True if the store rejects all batches of the owner as out of sequence. */
+        var isOutOfSequence = false
+
         /** True if claims are appended but not answered until [answerClaims]. */
         var holdsClaimAnswers = false
         val heldClaimAnswers = ArrayList<() -> Unit>()
@@ -72,6 +85,9 @@
             condition: AppendCondition,
         ): CompletableFuture<AppendOutcome> {
             if (isSlow) return CompletableFuture()
+            if (isOutOfSequence && condition is AppendCondition.Once) {
+                return CompletableFuture.completedFuture(AppendOutcome.OutOfSequence(condition.sequence + 7))
+            }
             val outcome = append(topic, records, condition)
             if (topic != CLAIM_TOPIC || !holdsClaimAnswers) return CompletableFuture.completedFuture(outcome)
             val reply = CompletableFuture<AppendOutcome>()
@@ -153,6 +169,13 @@
     /** True if the upstream answers that it has seen a later token. */
     private var isDisplacing = false
 
+    /** Queues on which each look-up throws, as after a violated invariant. */
+    private object UnreadableQueues : ImmutableMap<String, QueueConfig> by persistentMapOf() {
+        override fun get(key: String): QueueConfig? = error("the queues cannot be read")
+
+        override fun containsKey(key: String): Boolean = error("the queues cannot be read")
+    }
+
     /** Records [order] and answers as an idle upstream, so that the owner keeps observing it. */
     private fun record(order: UpstreamOrder): CompletableFuture<UpstreamReport> {
         orders += order
@@ -237,16 +260,21 @@
         expectThat(orders).isNotEmpty()
     }
 
+    /** Why an owner resigns although no other process has claimed the shard. */
+    enum class Resignation { FENCED_BY_UPSTREAM, INVARIANT_VIOLATED, JOURNAL_OUT_OF_SEQUENCE }
+
     /** Guards against an owner that appends under a token that it gave up; the store has none of these batches. */
-    @Test
-    fun `an owner that an upstream displaced during a renewal owns the shard again only under a new token`() {
+    @ParameterizedTest
+    @EnumSource
+    fun `an owner that resigned during a renewal owns the shard again only under a new token`(cause: Resignation) {
         acquireShard()
         val given = newestClaim().token
         store.holdsClaimAnswers = true
         repeat(20) { if (store.heldClaimAnswers.isEmpty()) advance(TICK_INTERVAL) }
-        isDisplacing = true
+        provoke(cause)
         repeat(20) { if (controller.isOwner) advance(TICK_INTERVAL) }
         isDisplacing = false
+        store.isOutOfSequence = false
         expectThat(store.heldClaimAnswers).isNotEmpty()
         store.answerClaims()
         advance(TICK_INTERVAL)
@@ -256,6 +284,22 @@
         expectThat(newestClaim().token).isGreaterThan(given)
     }
 
+    private fun provoke(cause: Resignation) {
+        when (cause) {
+            Resignation.FENCED_BY_UPSTREAM -> isDisplacing = true
+            Resignation.INVARIANT_VIOLATED -> {
+                controller.configured(CellConfig(1, UnreadableQueues))
+                val spec = JobSpec("payload", listOf(StepSpec(1, Resources(1, 1), 100)))
+                val request = JobRequest.Submit(JobId("5c0e7a21d94b36f8"), "q", spec)
+                controller.requested(CellEvent.Requested(CallKey("10.0.0.2:7000", 1), request))
+            }
+            Resignation.JOURNAL_OUT_OF_SEQUENCE -> {
+                store.isOutOfSequence = true
+                store.logs.getValue("upstreams") += KeyedRecord("w2", byteArrayOf(1))
+            }
+        }
+    }
+
     private fun newestClaim(): ClaimRecord {
         val record = store.logs.getValue(CLAIM_TOPIC).last()
         return checkNotNull(RecordCodec.decode(ClaimRecord.serializer(), checkNotNull(record.value)))
