--- a/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
+++ b/kernel/src/main/kotlin/org/anvilbarrow/kernel/jobs/RunController.kt
@@ -143,6 +143,7 @@
             StopResult.OTHER_UPSTREAM, StopResult.UNANSWERED -> {
                 // Unusable until the next observe request succeeds.
                 run.upstream.unanswered(timedOut = true)
+                suspectStarts.ended(run)
                 suspectStarts.unsent(run.upstream).forEach {
                     lost(it, "${run.upstream} did not answer before the start order")
                 }
--- a/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/SuspectGroupTest.kt
+++ b/kernel/src/test/kotlin/org/anvilbarrow/kernel/jobs/SuspectGroupTest.kt
@@ -2,6 +2,8 @@
 
 import org.anvilbarrow.protocol.jobs.JobPhase
 import org.anvilbarrow.protocol.jobs.StepSpec
+import org.anvilbarrow.protocol.jobs.UpstreamOrder
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import strikt.api.expectThat
@@ -124,6 +126,26 @@
         expectThat(world.phase(DEADLY)).isEqualTo(JobPhase.FAILED)
     }
 
+    /** Guards against one check after the other of an upstream that does not answer, while its suspects wait. */
+    @Test
+    fun `suspects on an upstream that does not answer are given back together`() {
+        val world = world(workers = 3, jobs = 60)
+        val waiting = world.workers.values.filter { it.running.isEmpty() }
+        world.loseFullest()
+        world.delayOf = { order ->
+            second.multipliedBy(5).takeIf { order is UpstreamOrder.Stop && order.upstream == waiting.first().id }
+        }
+        world.run(second.multipliedBy(12))
+        val checks =
+            world.calls
+                .map {
+                    it.order
+                }.filter { it is UpstreamOrder.Stop && it.upstream == waiting.first().id }
+        expectThat(checks.size).isLessThanOrEqualTo(5)
+        expectThat(world.idleJobs(60)).isEqualTo(0)
+        expectThat(world.violations).isEmpty()
+    }
+
     /** True if a task under which two upstreams crashed has just started beside another suspect. */
     private fun FakeWorker.hasIsolatedTaskInCompany(world: JobWorld): Boolean {
         val young = running.values.filter { Duration.between(it.startedAt, world.now) < second }
